--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -138,7 +138,10 @@
 	return s.Listener.Addr().String(), came
 }
 
-// nowhere is a discovery that is never asked: lists are pushed in these settings.
+// noAnswer is after how long a test that waits for what never comes fails.
+const noAnswer = time.Minute
+
+// nowhere is a discovery that refuses all calls.
 const nowhere = "127.0.0.1:1"
 
 func TestServed(t *testing.T) {
@@ -643,23 +646,32 @@
 	}
 }
 
-// The module hears that a watch ended, and its next call goes out.
+// The module hears that a watch ended, and its next call goes out: in either mode, as on
+// sockets only who watches is told of a drain.
 func TestWatchIsAskedAgain(t *testing.T) {
-	asked := make(chan string, 10)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		asked <- r.URL.RawQuery
-		fmt.Fprintln(w, change)
-	}))
-	t.Cleanup(s.Close)
-	conf := config(s.Listener.Addr().String(), "127.0.0.1:1")
-	set := conf["settings"].(map[string]any)
-	set["membershipMode"] = "on_request"
-	set["contract"].(map[string]any)["askWithinMs"] = 10
-	start(t, conf)
-	if q := <-asked; q != "follow=1&since=1" {
-		t.Fatalf("asked %q", q)
-	}
-	if q := <-asked; q != "follow=1&since=2" {
-		t.Fatalf("asked again %q", q)
+	for _, mode := range []string{policy.Pushed, policy.OnRequest} {
+		t.Run(mode, func(t *testing.T) {
+			asked := make(chan string, 10)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				asked <- r.URL.RawQuery
+				fmt.Fprintln(w, change)
+			}))
+			t.Cleanup(s.Close)
+			conf := config(s.Listener.Addr().String(), "127.0.0.1:1")
+			set := conf["settings"].(map[string]any)
+			set["membershipMode"] = mode
+			set["contract"].(map[string]any)["askWithinMs"] = 10
+			start(t, conf)
+			for _, want := range []string{"follow=1&since=1", "follow=1&since=2"} {
+				select {
+				case q := <-asked:
+					if q != want {
+						t.Fatalf("asked %q, want %q", q, want)
+					}
+				case <-time.After(noAnswer):
+					t.Fatalf("never asked %q", want)
+				}
+			}
+		})
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,7 +85,7 @@
 // Start gives the first actions of a new agent and appends them to out.
 func (b *Balancer) Start(now float64, out []Action) []Action {
 	b.now, b.out, b.began, b.triedAt, b.recentAt, b.flowAt = now, out, now, now, now, now
-	if b.set.Membership == "on_request" {
+	if b.set.Membership == OnRequest {
 		// Spread over a part of the contract's time: agents that start together
 		// must not all call at once.
 		b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * b.set.Contract.AskWithinMs / 8, Token: followToken})
@@ -873,7 +873,7 @@
 func (b *Balancer) onList(ev *Event) {
 	if ev.List == ListFailed {
 		b.follows++
-		if b.set.Membership == "on_request" {
+		if b.set.Membership == OnRequest {
 			wait := min(500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs)
 			b.do(Action{Kind: ActTimer, Ms: wait * (0.5 + 0.5*b.rng.Float64()), Token: followToken})
 		}
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -27,7 +27,7 @@
 			return fmt.Errorf("%s: must be 0 or above, is %v", at("keyTtlMs"), c.KeyTTLMs)
 		}
 	}
-	if s.Membership != "pushed" && s.Membership != "on_request" {
+	if s.Membership != Pushed && s.Membership != OnRequest {
 		return fmt.Errorf("settings: membershipMode: unknown mode %q", s.Membership)
 	}
 	for _, f := range []struct {
--- a/policy/types.go
+++ b/policy/types.go
@@ -108,6 +108,12 @@
 	WorstTenant float64 `json:"worstTenant"`
 }
 
+// How changes of the list reach an agent.
+const (
+	Pushed    = "pushed"     // by themselves
+	OnRequest = "on_request" // to who follows, or asks for the whole list
+)
+
 // Report names the values of the servers' load reports.
 type Report struct {
 	How   string   `json:"how"`
@@ -123,7 +129,7 @@
 	Prices     Prices    `json:"prices"`
 	Objective  Objective `json:"objectiveMix"`
 	Report     Report    `json:"report"`
-	Membership string    `json:"membershipMode"` // "pushed" or "on_request"
+	Membership string    `json:"membershipMode"` // Pushed or OnRequest
 	Clients    struct {
 		MarksRetry bool `json:"marksRetry"`
 	} `json:"clients"`
