Bound what an agent has out instead of shutting it on failures

It let nothing out once failures passed three, until they were forgotten, so all agents shut and opened in step: 490 requests out on 32 servers at 8 s, 54 at 10 s. The bursts tip servers, whose late answers shut the throttle again.

Ruled out: windows (scarce refusals were under 1%), dead servers (304 and 305 end by 7 s), processor time (0.05 s a second at most).

Now an agent has a limit on attempts out: its part of two for each server, by its part of the traffic that the tenants' quotas foresee, raised while answers are well within their aim and lowered by late ones. Retries do not count for the part. Attempts after the first that reached a server are paid from a retry budget.

--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,390 @@
+package policy
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+)
+
+// fleet plays many agents against a few servers in virtual time, to count what they do
+// together. Servers have one core, serve in turn, and slow down when they hold too much
+// for too long; agents come by nothing but their own events.
+type fleet struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     float64
+	agents  []*fleetAgent
+	servers []*fleetServer
+	events  fleetEvents
+	order   int
+	seconds []fleetSecond
+	next    RequestID
+	workMs  float64
+	probes  int
+	silent  bool // discovery answers no call
+}
+
+// fleetSecond counts what happened in one second, all agents together.
+type fleetSecond struct {
+	asked, won, sends, out, calls, again, opened int
+}
+
+type fleetAgent struct {
+	b    *Balancer
+	rate float64 // requests a ms
+	reqs map[RequestID]*fleetReq
+}
+
+type fleetReq struct {
+	agent   *fleetAgent
+	id      RequestID
+	cameAt  float64
+	tries   int
+	final   bool
+	retried bool
+	out     *fleetTry
+}
+
+type fleetTry struct {
+	req    *fleetReq
+	index  int
+	server *fleetServer
+	sentAt float64
+	over   bool // its agent waits no longer
+}
+
+type fleetServer struct {
+	addr    Addr
+	zone    int
+	speed   float64
+	bornAt  float64 // cold from here on for coldMs; 0: warm
+	down    bool
+	queue   []*fleetTry
+	busy    bool
+	crowded float64 // since when it holds too much; 0: it does not
+	choked  bool
+	got     []float64 // times at which attempts came
+}
+
+type fleetEvent struct {
+	at    float64
+	order int
+	do    func()
+}
+
+type fleetEvents []fleetEvent
+
+func (e fleetEvents) Len() int { return len(e) }
+func (e fleetEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e fleetEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *fleetEvents) Push(x any)   { *e = append(*e, x.(fleetEvent)) }
+func (e *fleetEvents) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+const (
+	fleetStart = 1e6
+	hop        = 1.5 // ms one way
+)
+
+func fleetSettings(agents int) Settings {
+	s := testSettings()
+	s.Replicas = agents
+	s.Limits = Limits{Cancelling: true, Probing: true, MaxAttempts: 5, MaxRetryAfterMs: 2000,
+		ConnectTimeoutMs: 250, KeepaliveMs: 15000}
+	s.Contract = Contract{AnswerSlackMs: 5, AskWithinMs: 10000, ColdFrom: 0.3, ColdMs: 7000, DrainGraceMs: 1500,
+		FallMultiple: 3, TipAfterMs: 1000}
+	s.Classes = s.Classes[:1]
+	s.Classes[0].GiveUpMs = 1500
+	s.Prices = Prices{CrossZone: 0.03, Handshake: 0.08, Probe: 0.08, List: 0.05, Waste: 0.1}
+	s.Weights, s.RoundMs = "off", 1
+	return s
+}
+
+// newFleet makes agents that together ask for load times what the servers can do.
+func newFleet(t *testing.T, seed uint64, agents, servers int, load float64) *fleet {
+	t.Helper()
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 11)), now: fleetStart, workMs: 30}
+	for i := range servers {
+		f.servers = append(f.servers, &fleetServer{addr: addr(i), zone: i % 2, speed: 1})
+	}
+	for i := range agents {
+		set := fleetSettings(agents)
+		set.Index, set.Zone = i, i%2
+		f.agents = append(f.agents, f.agent(set, seed<<16+uint64(i)))
+		f.agents[i].rate = load * float64(servers) / f.workMs / float64(agents)
+	}
+	return f
+}
+
+func (f *fleet) agent(set Settings, seed uint64) *fleetAgent {
+	b, err := New(set, seed)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return &fleetAgent{b: b, reqs: map[RequestID]*fleetReq{}}
+}
+
+func (f *fleet) at(at float64, do func()) {
+	f.order++
+	heap.Push(&f.events, fleetEvent{max(at, f.now), f.order, do})
+}
+
+// second is the count of the present second.
+func (f *fleet) second() *fleetSecond {
+	i := int((f.now - fleetStart) / 1000)
+	for len(f.seconds) <= i {
+		f.seconds = append(f.seconds, fleetSecond{})
+	}
+	return &f.seconds[i]
+}
+
+// list is what discovery says now.
+func (f *fleet) list() []Entry {
+	var all []Entry
+	for _, s := range f.servers {
+		e := Entry{Server: s.addr, Zone: s.zone, Cell: s.zone, Health: Ready, Weight: 1, SinceMs: s.bornAt}
+		if s.down {
+			e.Health = Gone
+		}
+		all = append(all, e)
+	}
+	return all
+}
+
+func (f *fleet) tell(kind ListKind, entries ...Entry) {
+	for _, a := range f.agents {
+		f.handle(a, Event{Kind: EvList, List: kind, Entries: entries})
+	}
+}
+
+// play runs the fleet for so many seconds.
+func (f *fleet) play(seconds float64) {
+	end := f.now + seconds*1000
+	for len(f.events) > 0 && f.events[0].at <= end {
+		e := heap.Pop(&f.events).(fleetEvent)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// start boots all agents with the list as it is and lets their clients ask.
+func (f *fleet) start() {
+	for _, a := range f.agents {
+		f.boot(a)
+		var ask func()
+		ask = func() {
+			f.ask(a, f.now, false)
+			f.at(f.now+f.rng.ExpFloat64()/a.rate, ask)
+		}
+		f.at(f.now+f.rng.ExpFloat64()/a.rate, ask)
+	}
+}
+
+func (f *fleet) boot(a *fleetAgent) {
+	f.act(a, a.b.Start(f.now, nil))
+	f.handle(a, Event{Kind: EvList, List: ListCached, Entries: f.list()})
+}
+
+// ask is a client's request; one that is turned away comes once more after the advice.
+func (f *fleet) ask(a *fleetAgent, first float64, retry bool) {
+	f.next++
+	r := &fleetReq{agent: a, id: f.next, cameAt: first, retried: retry}
+	a.reqs[r.id] = r
+	if !retry {
+		f.second().asked++
+	}
+	f.handle(a, Event{Kind: EvRequest, Request: r.id, Key: 1 + f.rng.Uint64N(400), LeftMs: 1000, Retry: retry})
+	f.at(f.now+1000, func() {
+		if !r.final {
+			r.final = true
+			f.handle(a, Event{Kind: EvDropped, Request: r.id})
+		}
+	})
+}
+
+func (f *fleet) handle(a *fleetAgent, ev Event) { f.act(a, a.b.Handle(f.now, &ev, nil)) }
+
+func (f *fleet) act(a *fleetAgent, actions []Action) {
+	for _, act := range actions {
+		r := a.reqs[act.Request]
+		switch act.Kind {
+		case ActSend:
+			f.send(r, &act)
+		case ActCancel:
+			if try := r.out; try != nil && try.index == act.Attempt {
+				f.end(try, Cancelled)
+			}
+		case ActRefuse, ActFail:
+			r.final = true
+			if !r.retried && act.Kind == ActRefuse {
+				f.at(f.now+30+200*f.rng.Float64(), func() { f.ask(a, r.cameAt, true) })
+			}
+		case ActTimer:
+			f.at(f.now+act.Ms, func() { f.handle(a, Event{Kind: EvTimer, Token: act.Token}) })
+		case ActProbe:
+			f.probes++
+			f.probe(a, act.Server)
+		case ActFollow, ActFetch:
+			f.second().calls++
+			if f.silent {
+				f.at(f.now+3000, func() { f.handle(a, Event{Kind: EvList, List: ListFailed}) })
+			}
+		}
+	}
+}
+
+func (f *fleet) server(at Addr) *fleetServer {
+	for _, s := range f.servers {
+		if s.addr == at {
+			return s
+		}
+	}
+	f.t.Fatalf("no server %v", at)
+	return nil
+}
+
+func (f *fleet) probe(a *fleetAgent, at Addr) {
+	s := f.server(at)
+	f.at(f.now+2*hop, func() {
+		ev := Event{Kind: EvProbed, Server: at, Status: OK, LatencyMs: 2 * hop}
+		if s.down {
+			ev.Status = ConnectFailed
+		}
+		f.handle(a, ev)
+	})
+}
+
+func (f *fleet) send(r *fleetReq, act *Action) {
+	s := f.server(act.Server)
+	sec := f.second()
+	sec.sends++
+	if r.tries > 0 {
+		sec.again++
+	}
+	try := &fleetTry{req: r, index: r.tries, server: s, sentAt: f.now}
+	r.tries++
+	r.out = try
+	f.at(f.now+hop, func() {
+		s.got = append(s.got, f.now)
+		if s.down {
+			f.end(try, ConnectFailed)
+			return
+		}
+		if !try.over {
+			s.queue = append(s.queue, try)
+		}
+		out := 0
+		for _, o := range f.servers {
+			out += len(o.queue)
+		}
+		sec := f.second()
+		sec.out = max(sec.out, out)
+		f.serve(s)
+	})
+	f.at(f.now+act.Ms, func() { f.end(try, Timeout) })
+}
+
+// capacity is the part of its full speed at which a server works now.
+func (s *fleetServer) capacity(now float64) float64 {
+	c := s.speed
+	if s.choked {
+		c /= 3
+	}
+	if age := now - s.bornAt; s.bornAt > 0 && age < 7000 {
+		c *= 0.3 + 0.7*age/7000
+	}
+	return c
+}
+
+// serve takes the next in turn. A server that holds seven or more for 2 s works three
+// times slower until it has been empty.
+func (f *fleet) serve(s *fleetServer) {
+	if len(s.queue) < 7 {
+		s.crowded = 0
+	} else if s.crowded == 0 {
+		s.crowded = f.now
+	}
+	if s.crowded > 0 && f.now-s.crowded > 2000 {
+		s.choked = true
+	}
+	if s.busy || s.down {
+		return
+	}
+	if len(s.queue) == 0 {
+		s.choked = false
+		return
+	}
+	try := s.queue[0]
+	s.busy = true
+	f.at(f.now+f.rng.ExpFloat64()*f.workMs/s.capacity(f.now), func() {
+		s.busy = false
+		if len(s.queue) > 0 && s.queue[0] == try {
+			s.queue = s.queue[1:]
+			f.at(f.now+hop, func() { f.end(try, OK) })
+		}
+		f.serve(s)
+	})
+}
+
+// end is how an attempt ends for its agent; what is no longer waited for is not served.
+func (f *fleet) end(try *fleetTry, st Status) {
+	if try.over {
+		return
+	}
+	try.over = true
+	for i, o := range try.server.queue {
+		if o == try && (i > 0 || !try.server.busy) {
+			try.server.queue = append(try.server.queue[:i:i], try.server.queue[i+1:]...)
+			break
+		}
+	}
+	r := try.req
+	r.out = nil
+	if st == OK && !r.final {
+		r.final = true
+		if f.now-r.cameAt <= r.agent.b.set.Classes[0].AimMs {
+			f.second().won++
+		}
+	}
+	f.handle(r.agent, Event{Kind: EvOutcome, Request: r.id, Attempt: try.index, Server: try.server.addr,
+		Status: st, LatencyMs: f.now - try.sentAt, Final: r.final})
+}
+
+// Half the servers vanish, and the rest can't carry what is asked. However many agents
+// there are, they go on serving what can be served: a throttle in each that shut on
+// failures and opened in step left the servers idle one second and drowned the next.
+func TestManyAgentsKeepFewServersBusy(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		f := newFleet(t, seed, 60, 20, 0.75)
+		f.start()
+		f.play(4)
+		var gone []Entry
+		for i, s := range f.servers {
+			if i%2 == 0 {
+				s.down = true
+				gone = append(gone, f.list()[i])
+			}
+		}
+		f.play(1)
+		f.tell(ListDelta, gone...)
+		f.play(10)
+		// Ten servers at 30 ms a request, from the third second after on.
+		can, won := 10*1000/f.workMs, 0
+		for i, s := range f.seconds[8:] {
+			won += s.won
+			if s.out > 10*8 {
+				t.Errorf("seed %d, second %d: %d out at once on 10 servers", seed, i+8, s.out)
+			}
+		}
+		if mean := float64(won) / float64(len(f.seconds[8:])); mean < 0.25*can {
+			t.Errorf("seed %d: %.0f a second served in time of %.0f that the servers can do", seed, mean, can)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,9 +43,14 @@
 	// failWeight is the weight of an attempt in its server's share of failures, failShare
 	// the least median of these shares with which failures are the fleet's, not a server's.
 	failWeight, failShare = 0.05, 0.01
-	// tryFactor is how many attempts may end for each that earned its worth before the
-	// agent sends less; tryFree of them are free, and trySpan is for how many aims they count.
-	tryFactor, tryFree, trySpan = 1.5, 3.0, 10.0
+	// shareOut is how many attempts for each server all agents together may always have
+	// out: it keeps a server busy and is well under what makes one slower. A good answer
+	// adds boostStep to an agent's part, over those of a round trip; a late one takes up to
+	// boostCut off.
+	shareOut, boostStep, boostCut = 2.0, 0.3, 0.4
+	// againShare is how many attempts after the first each answer in time pays for,
+	// againMost what is saved up: enough for a moment in which half the servers vanish.
+	againShare, againMost = 0.5, 20.0
 	// leastServers is the smallest subset of the fleet an agent sends to.
 	leastServers = 16
 	// maxHeld bounds the requests held for room, and so the work of a decision.
@@ -69,7 +74,7 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
-		home: ownZone, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
+		home: ownZone, again: againMost, boost: 1, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
 		recentKeys: keyCounter{count: map[uint64]int{}}}
 	for i := range b.kinds {
 		b.kinds[i].weight = 1
@@ -84,7 +89,7 @@
 
 // Start gives the first actions of a new agent and appends them to out.
 func (b *Balancer) Start(now float64, out []Action) []Action {
-	b.now, b.out, b.began, b.triedAt, b.recentAt, b.flowAt = now, out, now, now, now, now
+	b.now, b.out, b.began, b.recentAt, b.flowAt = now, out, now, now, now
 	if b.set.Membership == OnRequest {
 		// Spread over a part of the contract's time: agents that start together
 		// must not all call at once.
@@ -174,8 +179,10 @@
 	r.hash = b.split(r.key)
 	b.requests[r.id] = r
 	b.seen++
-	b.recent = b.recent*math.Exp((b.recentAt-b.now)/max(b.set.Limits.KeepaliveMs, 1)) + 1
-	b.recentAt = b.now
+	if !ev.Retry { // retries swell with trouble, and are foreseen nowhere
+		b.recent = b.recent*math.Exp((b.recentAt-b.now)/max(b.set.Limits.KeepaliveMs, 1)) + 1
+		b.recentAt = b.now
+	}
 	b.count(r.tenant)
 	b.tally(r.class)
 	b.revalidate()
@@ -242,12 +249,60 @@
 	}
 }
 
-// mayTry is the agent's own throttle (adaptive throttling, with a retry budget in it):
-// attempts that fail or come late leave less to send. With a request or two out at each
-// of a thousand agents no server's window holds back the crowd they are together; each
-// full answer went on to the next server, until requests went out nine times (i86bcad).
+// mayTry is the agent's part of what the fleet may have out: an adaptive limit on its
+// attempts out. What it bounds is the queue in front of the servers, whatever the number
+// of agents and however late they learn. The throttle before it counted failures, and let
+// nothing out until they were forgotten: a whole fleet shut and opened in step, 54 requests
+// were out on 32 servers one second and 490 two seconds before, which tipped them.
 func (b *Balancer) mayTry() bool {
-	return b.failing*math.Exp((b.triedAt-b.now)/(trySpan*b.aimMin)) < tryFree
+	out, room := float64(b.inflight), b.share()*b.boost
+	return out < max(room, 1) && (room >= 1 || b.now-b.triedAt >= b.meanRTT/room)
+}
+
+// share is the agent's part of shareOut attempts a server: by its part of the traffic that
+// the settings foresee for all agents, an even one where they foresee none. One out at a
+// time does no harm as long as all agents may have one.
+func (b *Balancer) share() float64 {
+	all := shareOut * float64(b.ready)
+	even := all / float64(max(b.set.Replicas, 1))
+	quota := 0.0
+	for _, t := range b.set.Tenants {
+		quota += t.QuotaPerS / 1000
+	}
+	if quota == 0 {
+		return even
+	}
+	return max(all*b.rate()/quota, min(even, 1))
+}
+
+// rate is how many requests a ms came of late.
+func (b *Balancer) rate() float64 {
+	span := max(b.set.Limits.KeepaliveMs, 1)
+	old := math.Exp((b.recentAt - b.now) / span)
+	return b.recent * old / span / max(1-math.Exp((b.began-b.now)/span), 0.01)
+}
+
+// adapt lets the limit follow how attempts end: up while answers take little of their aim,
+// down the more the later one is, or if it is turned away or left by its client. Errors
+// and broken connections tell nothing of queues.
+func (b *Balancer) adapt(a *attempt, st Status, rtt float64) {
+	room := max(b.share()*b.boost, 1)
+	over := min(max(rtt/b.set.Classes[a.r.class].AimMs-crowdShare, 0), 1)
+	if st == Full {
+		over = 1
+	}
+	if st == OK {
+		b.meanRTT = mean(b.meanRTT, rtt, smooth)
+	}
+	switch {
+	case over > 0 && (st == OK || st == Full || st == Cancelled || st == Timeout && !a.s.silent):
+		b.boost = max(b.boost*(1-boostCut*over), 1)
+	case st == OK:
+		b.again = min(b.again+againShare, againMost)
+		if float64(2*(b.inflight+1)) >= room {
+			b.boost += boostStep / (b.boost * room)
+		}
+	}
 }
 
 // expire ends held requests that can no longer earn anything, before they cost work.
@@ -482,7 +537,7 @@
 	if s.sentAt > 0 {
 		s.gap = mean(s.gap, b.now-s.sentAt, smooth)
 	}
-	s.sentAt = b.now
+	s.sentAt, b.triedAt = b.now, b.now
 	b.inflight++
 	if b.ramp(s) < 1 {
 		s.credit -= a.cost
@@ -563,14 +618,7 @@
 		r.risky--
 	}
 	b.hangUp(s)
-	worth := 0.0
-	if ev.Status == OK && b.now <= r.aimAt {
-		worth = 1
-	} else if ev.Status == OK {
-		worth = b.set.Classes[r.class].LateShare
-	}
-	old := math.Exp((b.triedAt - b.now) / (trySpan * b.aimMin))
-	b.failing, b.triedAt = b.failing*old+1-tryFactor*worth, b.now
+	b.adapt(a, ev.Status, finite(ev.LatencyMs))
 	b.judge(a, ev.Status, finite(ev.LatencyMs))
 	if r.closed || r.started || ev.Final || ev.Status == OK {
 		b.close(r)
@@ -592,15 +640,23 @@
 	}
 }
 
-// further holds an unanswered request for another server where class and time allow, or
-// ends it. It competes with first tries, so that trouble does not multiply the load.
+// further holds an unanswered request for another server where class, time and the retry
+// budget allow, or ends it. It competes with first tries, so that trouble does not multiply
+// the load: with a request or two out at each of a thousand agents no window holds back
+// what all send on together (i86bcad).
 func (b *Balancer) further(r *request, why Status) {
 	c := &b.set.Classes[r.class]
 	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
-	if !able || len(r.attempts) >= b.set.Limits.MaxAttempts || why == Moot || b.now >= r.deadline {
+	price := 1.0
+	if why == ConnectFailed {
+		price = 0 // no server was asked for anything
+	}
+	spent := b.again < price || len(r.attempts) >= b.set.Limits.MaxAttempts
+	if !able || spent || why == Moot || b.now >= r.deadline {
 		b.end(r)
 		return
 	}
+	b.again -= price
 	b.held = append(b.held, r)
 }
 
@@ -891,7 +947,11 @@
 			s.usable = s.usable && named[s.id]
 		}
 	}
+	b.ready = 0
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
+		if s.usable {
+			b.ready++
+		}
 		forget := !s.usable && len(s.out) == 0 && !s.probing
 		if forget {
 			delete(b.byAddr, s.id)
--- a/policy/state.go
+++ b/policy/state.go
@@ -147,7 +147,10 @@
 	follows    int     // failed calls in a row
 	flow       float64 // work sent to a warm server of weight one, fading over the cold time
 	flowAt     float64
-	failing    float64 // attempts that ended of late, less what the earned ones allow; as of triedAt
+	boost      float64 // how many times its share of attempts the agent may have out
+	again      float64 // retry budget: attempts after a first that may still be made
+	ready      int     // servers listed as ready
+	meanRTT    float64 // mean answer time
 	recent     float64 // requests of late, over the keepalive time, as of recentAt
 	recentAt   float64
 	home       float64 // weight of the own zone's servers, and mean answer times there and elsewhere
@@ -155,7 +158,7 @@
 	awayLat    float64
 	allLat     float64
 	kinds      [256]struct{ lat, weight float64 } // mean answer time and weight of each kind of machine
-	triedAt    float64
+	triedAt    float64                            // last attempt
 	began      float64
 	seen       float64 // requests since
 	ticking    bool
