Hold a failing server for as long as the agent takes to come by

Cause: holdFor in policy/policy.go held a server for one aim (150 ms) where probes are allowed, doubled with strikes. An agent of 80 comes by a server every 3 to 8 s, so the hold was always over; the probe is answered beside the requests, said OK, and the next request failed. Ruled out: strikes forgotten by good answers (there were too few).

The rule for deployments without probes now holds with them: at least the time in which the agent comes by each server, doubled with strikes, a minute at most.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,6 +37,7 @@
 	// a key is split that alone would be a server's even share: it is not alone there.
 	keyMemory, keySpread = 128, 4.0
 	maxStrikes           = 5 // bounds the doubling of a bad server's hold
+	longestHold          = 60000.0
 	// smooth is the weight of an answer in a server's mean, slowSmooth in a fleet-wide one;
 	// fade lets requests count less for shares with age, over about 500.
 	smooth, slowSmooth, fade = 0.2, 0.005, 0.998
@@ -899,20 +900,18 @@
 }
 
 // holdFor is how long a server stays Unhealthy before it is validated again: one aim for
-// a stray failure, or the time in which the agent comes by each server if that is longer
-// and a check costs a request (quiet agents lost a third of theirs in checking slow
-// servers again and again, id753de), doubled with each further strike. While the others have
-// no room there is none: a server that fails some requests is better than refusing
+// a stray failure, or the time in which the agent comes by each server if that is longer,
+// doubled with each further strike up to a minute. A probe is answered beside the requests
+// and clears a server that fails them: held for a few aims, less than an agent takes to
+// come by, failing servers kept an even share for as long as they failed. While the others
+// have no room there is no hold: a server that fails some requests is better than refusing
 // them all. One that answers nothing is not.
 func (b *Balancer) holdFor(s *server) float64 {
 	if b.scarce && !s.silent {
 		return 0
 	}
-	hold := b.aimMin
-	if !b.set.Limits.Probing {
-		hold = max(hold, b.set.Limits.KeepaliveMs*float64(b.subset())/max(b.recent, 1))
-	}
-	return hold * float64(int(1)<<max(s.strikes-1, 0))
+	meet := b.set.Limits.KeepaliveMs * float64(b.subset()) / max(b.recent, 1)
+	return min(max(b.aimMin, meet)*float64(int(1)<<max(s.strikes-1, 0)), longestHold)
 }
 
 // watchSilence demotes servers that took attempts and have answered nothing for
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -886,7 +886,8 @@
 	}
 }
 
-// id753de: a quiet agent checked each slow server again after one aim, with a request.
+// id753de: a quiet agent checked each slow server again after one aim, with a request; and
+// a probe clears a server that fails its requests, so it must not come sooner either.
 func TestQuietAgentHoldsAFailedServerLonger(t *testing.T) {
 	for _, probing := range []bool{false, true} {
 		set := testSettings()
@@ -900,9 +901,14 @@
 			r.outcome(id, 0, s, OK, 20)
 		}
 		r.b.demote(r.b.byAddr[s], true)
-		if hold := r.b.holdFor(r.b.byAddr[s]); probing != (hold < 1000) {
+		if hold := r.b.holdFor(r.b.byAddr[s]); hold < 1000 {
 			t.Errorf("probing %v: held for %.0f ms, two requests a second over 20 servers", probing, hold)
 		}
+		r.b.byAddr[s].strikes = maxStrikes
+		r.b.recent = 0.1
+		if hold := r.b.holdFor(r.b.byAddr[s]); hold > longestHold {
+			t.Errorf("probing %v: held for %.0f ms, longer than a minute", probing, hold)
+		}
 	}
 }
 
