Close the listener once when the agent leaves

Seen: TestProgram failed now and then: after SIGTERM the program ended with status 1 and 'close tcp ...: use of closed network connection', having answered all.

Cause: leave in internal/agent/server.go closed the raw listener, and http.Server.Close closed it again if Serve had not yet taken it off its list; its error became the program's.

The listener with places now closes once.

--- a/internal/agent/places.go
+++ b/internal/agent/places.go
@@ -112,6 +112,14 @@
 type listener struct {
 	net.Listener
 	places *places
+	once   sync.Once
+}
+
+// Close may be called by who leaves and by the server: the second must not be told that it
+// came too late, or an agent that ended in order would end with an error.
+func (l *listener) Close() (err error) {
+	l.once.Do(func() { err = l.Listener.Close() })
+	return err
 }
 
 // Accept always takes the next connection: left in the kernel's queue its request would
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -106,13 +106,14 @@
 	go a.loop.run()
 	go a.tidy(ctx)
 	failed := make(chan error, 1)
-	go func() { failed <- a.server.Serve(&listener{Listener: ln, places: a.places}) }()
+	placed := &listener{Listener: ln, places: a.places}
+	go func() { failed <- a.server.Serve(placed) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return a.leave(ln)
+	return a.leave(placed)
 }
 
 // tidy looks after the clients' idle connections until the context ends.
