Let agents take turns in calling discovery, and fetch nothing besides

Cause: Start in policy/policy.go spread the first calls over 1.25 s, four times what discovery serves; calls that wait too long are work done for nobody, so the queue stays; and refetch called for the list after each demotion, beside the watch. Ruled out: slow bid servers at restart (the 304s name servers that are gone).

Agents now take turns 75 ms apart by their own numbers with a random part, and wait at random in a doubling span after a failure. Who follows, or waits to, fetches nothing. Pushed lists on sockets cost nothing: a mode of its own watches at once.

The fleet test fails without it.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -105,10 +105,12 @@
 	if most := openRequests(c.Limits.Sockets); set.Limits.OpenCap <= 0 || set.Limits.OpenCap > most {
 		set.Limits.OpenCap = most
 	}
-	// On sockets nothing is pushed but to who watches: the module is told that it has to
-	// ask, and decides when. Taken at its word, "pushed" meant that no agent ever watched
-	// and that each learned of drains from the fetches its own failures caused.
-	set.Membership = policy.OnRequest
+	// On sockets even what is pushed reaches only who watches: the module is told so, and
+	// decides when. Taken at its word, "pushed" meant that no agent ever watched and that
+	// each learned of drains from the fetches its own failures caused.
+	if set.Membership == policy.Pushed {
+		set.Membership = policy.Watched
+	}
 	bal, err := policy.New(set, c.Seed)
 	if err != nil {
 		return nil, err
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -21,7 +21,9 @@
 	next    RequestID
 	workMs  float64
 	probes  int
-	silent  bool // discovery answers no call
+	callMs  float64 // of discovery's work for a call; it takes calls in turn
+	discAt  float64 // when it has done all that it was asked
+	told    int     // agents that follow the list
 }
 
 // fleetSecond counts what happened in one second, all agents together.
@@ -233,8 +235,14 @@
 			f.probe(a, act.Server)
 		case ActFollow, ActFetch:
 			f.second().calls++
-			if f.silent {
-				f.at(f.now+3000, func() { f.handle(a, Event{Kind: EvList, List: ListFailed}) })
+			f.discAt = max(f.discAt, f.now) + f.callMs
+			if wait := f.discAt - f.now; wait > 2000 { // its work is done for nobody
+				f.at(f.now+2000, func() { f.handle(a, Event{Kind: EvList, List: ListFailed}) })
+			} else {
+				f.at(f.discAt, func() {
+					f.told++
+					f.handle(a, Event{Kind: EvList, List: ListFull, Entries: f.list()})
+				})
 			}
 		}
 	}
@@ -425,3 +433,57 @@
 		}
 	}
 }
+
+// Eighty agents start at once, and discovery serves fifteen calls a second in turn. All of
+// them get the list, as they come one after the other; when they came within a second, and
+// fetched it besides after each failure, most never did.
+func TestAgentsTakeTurnsAtDiscovery(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		f := newFleet(t, seed, 80, 20, 0.5)
+		f.callMs = 1000.0 / 15
+		for i, a := range f.agents {
+			set := a.b.set
+			set.Membership = OnRequest
+			rate := a.rate
+			f.agents[i] = f.agent(set, seed<<16+uint64(i))
+			f.agents[i].rate = rate
+		}
+		f.servers[0].down = true // so that there are failures to refetch for
+		f.start()
+		f.play(12)
+		if f.told != 80 {
+			t.Errorf("seed %d: %d of 80 agents were told the list once", seed, f.told)
+		}
+		for i, s := range f.seconds {
+			if s.calls > 15 {
+				t.Errorf("seed %d, second %d: %d calls", seed, i, s.calls)
+			}
+		}
+	}
+}
+
+// Agents and their restarts don't wait alike after a failed call.
+func TestFailedCallsAreSpread(t *testing.T) {
+	waits := map[float64]int{}
+	for i := range 20 {
+		for seed := range uint64(5) {
+			set := fleetSettings(20)
+			set.Membership, set.Index = OnRequest, i
+			b, err := New(set, seed<<8+uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Start(fleetStart, nil)
+			for failure := range 8 {
+				a := find(b.Handle(fleetStart, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer)
+				if a == nil || a.Ms < 500 || a.Ms > set.Contract.AskWithinMs {
+					t.Fatalf("failure %d: asks again by %+v", failure, a)
+				}
+				waits[a.Ms]++
+			}
+		}
+	}
+	if len(waits) != 20*5*8 {
+		t.Errorf("%d different waits of %d", len(waits), 20*5*8)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -69,6 +69,11 @@
 	// probeCap bounds the validations under way at once.
 	probeCap = 2
 
+	// callGap is how far apart all agents' calls to one discovery are, in ms; it serves some
+	// more. A watch on the agent's own machine costs nothing: firstWait and longestWait, in
+	// ms, only keep its calls from spinning.
+	callGap, firstWait, longestWait = 75.0, 100.0, 2000.0
+
 	tickToken, followToken = 1, 2
 )
 
@@ -96,11 +101,7 @@
 // Start gives the first actions of a new agent and appends them to out.
 func (b *Balancer) Start(now float64, out []Action) []Action {
 	b.now, b.out, b.began, b.recentAt, b.flowAt = now, out, now, now, now
-	if b.set.Membership == OnRequest {
-		// Spread over a part of the contract's time: agents that start together
-		// must not all call at once.
-		b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * b.set.Contract.AskWithinMs / 8, Token: followToken})
-	}
+	b.askForList()
 	return b.out
 }
 
@@ -964,9 +965,31 @@
 
 // ---- the list ----
 
-// refetch asks for the whole list, seldom: every call loads discovery.
+// askForList sets the time of the next call that follows the list. Where discovery is one
+// service for all, agents that start together have turns callGap apart by their numbers:
+// 80 that called within a second found a queue longer than any call waits, and those turned
+// away kept it so; none that was restarted got its list for the rest of the day. One that
+// failed waits for a turn in a span twice as long, up to the contract's time.
+func (b *Balancer) askForList() {
+	if b.set.Membership == Pushed {
+		return
+	}
+	turn := (float64(b.set.Index) + b.rng.Float64()) / float64(max(b.set.Replicas, b.set.Index+1))
+	span := callGap * float64(b.set.Replicas)
+	switch {
+	case b.set.Membership == Watched:
+		turn, span = b.rng.Float64(), min(firstWait*math.Pow(2, float64(b.follows)), longestWait)
+	case b.follows > 0:
+		turn = 0.5 + b.rng.Float64()/2
+		span = min(max(2*span, 1000)*math.Pow(2, float64(b.follows-1)), max(b.set.Contract.AskWithinMs, span))
+	}
+	b.do(Action{Kind: ActTimer, Ms: turn * span, Token: followToken})
+}
+
+// refetch asks for the whole list, seldom: every call loads discovery. Who follows the list
+// has it as new as can be, or waits for its turn to ask.
 func (b *Balancer) refetch() {
-	if b.now-b.lookedAt >= max(b.set.Contract.AskWithinMs, 1000) {
+	if b.set.Membership == Pushed && b.now-b.lookedAt >= max(b.set.Contract.AskWithinMs, 1000) {
 		b.lookedAt = b.now
 		b.do(Action{Kind: ActFetch})
 	}
@@ -975,10 +998,7 @@
 func (b *Balancer) onList(ev *Event) {
 	if ev.List == ListFailed {
 		b.follows++
-		if b.set.Membership == OnRequest {
-			wait := min(500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs)
-			b.do(Action{Kind: ActTimer, Ms: wait * (0.5 + 0.5*b.rng.Float64()), Token: followToken})
-		}
+		b.askForList()
 		return
 	}
 	b.follows = 0
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -27,7 +27,7 @@
 			return fmt.Errorf("%s: must be 0 or above, is %v", at("keyTtlMs"), c.KeyTTLMs)
 		}
 	}
-	if s.Membership != Pushed && s.Membership != OnRequest {
+	if s.Membership != Pushed && s.Membership != OnRequest && s.Membership != Watched {
 		return fmt.Errorf("settings: membershipMode: unknown mode %q", s.Membership)
 	}
 	for _, f := range []struct {
--- a/policy/types.go
+++ b/policy/types.go
@@ -111,7 +111,8 @@
 // How changes of the list reach an agent.
 const (
 	Pushed    = "pushed"     // by themselves
-	OnRequest = "on_request" // to who follows, or asks for the whole list
+	OnRequest = "on_request" // to who follows, or asks for the whole list; each call is work for discovery
+	Watched   = "watched"    // to who follows, at no cost
 )
 
 // Report names the values of the servers' load reports.
@@ -129,7 +130,7 @@
 	Prices     Prices    `json:"prices"`
 	Objective  Objective `json:"objectiveMix"`
 	Report     Report    `json:"report"`
-	Membership string    `json:"membershipMode"` // Pushed or OnRequest
+	Membership string    `json:"membershipMode"` // Pushed, OnRequest or Watched
 	Clients    struct {
 		MarksRetry bool `json:"marksRetry"`
 	} `json:"clients"`
