Send cold servers a larger part of an even share

At fault: coldMargin in policy/policy.go gave a cold server 3/8 of its ramp of what a warm one serves, at birth 3 a second of the 30 that would push it over. Ruled out: the credit's cap (a burst of one fits) and discovery (the list came within 0.5 s).

Five in place of eight: 0.6 of the ramp. A fleet test counts every second of each cold server's start against the rule, at 0.8 of its bound, and asks that it is used.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -487,3 +487,36 @@
 		t.Errorf("%d different waits of %d", len(waits), 20*5*8)
 	}
 }
+
+// Six of twenty servers are replaced at once while the rest is busy. All agents together
+// send each new one far less than would push it over in any second, and yet a fair part of
+// what it can do: what is left out would crowd the others.
+func TestColdServersAreUsedAndNotPushedOver(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		f := newFleet(t, seed, 60, 20, 0.7)
+		f.start()
+		f.play(6)
+		born := f.now
+		for _, s := range f.servers[:6] {
+			s.bornAt = born
+		}
+		f.tell(ListDelta, f.list()[:6]...)
+		f.play(6)
+		c := &f.agents[0].b.set.Contract
+		used := 0
+		for i, s := range f.servers[:6] {
+			used += s.sent(born)
+			for at := born; at < f.now-c.TipAfterMs; at += 50 {
+				can := s.capacity(at) * c.TipAfterMs / f.workMs
+				if got := s.sent(at) - s.sent(at+c.TipAfterMs); float64(got) > 0.8*c.FallMultiple*can {
+					t.Fatalf("seed %d: server %d got %d in the second after %.0f ms, when it could do %.0f",
+						seed, i, got, at-born, can)
+				}
+			}
+		}
+		// 0.6 of its capacity on the mean of its first six seconds.
+		if part := float64(used) / 6 / (0.6 * 6000 / f.workMs); part < 0.28 {
+			t.Errorf("seed %d: cold servers were sent %.2f of what they could do", seed, part)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,8 +64,8 @@
 	// coldBurst bounds what a cold server's credit saves up: all may spend it at once.
 	coldBurst = 1.0
 	// coldMargin is what an even share may cost a cold server, in its present capacity:
-	// warm ones may be crowded by half and save three quarters by their warm keys.
-	coldMargin = 8.0
+	// warm ones may be crowded by half and save two thirds by their warm keys.
+	coldMargin = 5.0
 	// probeCap bounds the validations under way at once.
 	probeCap = 2
 
