--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -56,11 +56,11 @@
 		s.Classes[i].AimMs = 50 + 400*rng.Float64()
 		s.Classes[i].LateShare = []float64{0, 0.2}[rng.IntN(2)]
 	}
+	s.Membership = []string{Pushed, OnRequest, Watched}[rng.IntN(3)]
+	s.Replicas = 1 + rng.IntN(100)
+	s.Index = rng.IntN(s.Replicas)
 	if rng.IntN(2) == 0 {
-		s.Membership = "on_request"
-	}
-	if rng.IntN(2) == 0 {
-		s.Tenants = []Tenant{{Name: "a", Portion: 0.7}, {Name: "b", Portion: 0.3}}
+		s.Tenants = []Tenant{{Name: "a", Portion: 0.7, QuotaPerS: 100}, {Name: "b", Portion: 0.3, QuotaPerS: 40}}
 		s.OverShareWorth = 0.1
 	}
 	s.Clients.MarksRetry = rng.IntN(2) == 0
@@ -98,6 +98,10 @@
 			if try := r.tries[a.Attempt]; !try.ended {
 				try.status, try.endsAt = Cancelled, w.now+5
 			}
+		case ActFetch:
+			if w.set.Membership != Pushed {
+				w.t.Fatal("fetched the list where it is followed")
+			}
 		case ActProbe:
 			if !w.set.Limits.Probing {
 				w.t.Fatal("probed where it is not allowed")
@@ -245,6 +249,9 @@
 			t.Errorf("seed %d: server %v keeps %d attempts", seed, s.id, len(s.out))
 		}
 	}
+	if w.b.boost < 1 || w.b.again < 0 || w.b.again > againMost {
+		t.Errorf("seed %d: %.1f times its share, a budget of %.1f", seed, w.b.boost, w.b.again)
+	}
 	if len(w.b.pasts) > maxHeld {
 		t.Errorf("seed %d: %d past requests remembered", seed, len(w.b.pasts))
 	}
