Keep first calls to discovery within the contract's time

Seen on reading: turns 75 ms apart give the last of 1,000 agents its first call after 75 s, while contract.askWithinMs (10 s) takes an agent as told that has not asked.

At fault: askForList in policy/policy.go did not bound the span of the turns. It is now at most 0.8 of that time. No change is due at 80 agents, nor where nothing is asked.

The test fails without the change.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -520,3 +520,19 @@
 		}
 	}
 }
+
+// However many agents there are, each asks within the time after which the contract takes
+// it as told.
+func TestTurnsFitTheContract(t *testing.T) {
+	for _, index := range []int{0, 500, 999} {
+		set := fleetSettings(1000)
+		set.Membership, set.Index = OnRequest, index
+		b, err := New(set, uint64(index))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a := find(b.Start(fleetStart, nil), ActTimer); a == nil || a.Ms >= set.Contract.AskWithinMs {
+			t.Errorf("agent %d of 1000 asks first by %+v", index, a)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -73,6 +73,8 @@
 	// more. A watch on the agent's own machine costs nothing: firstWait and longestWait, in
 	// ms, only keep its calls from spinning.
 	callGap, firstWait, longestWait = 75.0, 100.0, 2000.0
+	// askMargin is the part of the contract's time within which the first call must come.
+	askMargin = 0.8
 
 	tickToken, followToken = 1, 2
 )
@@ -976,6 +978,9 @@
 	}
 	turn := (float64(b.set.Index) + b.rng.Float64()) / float64(max(b.set.Replicas, b.set.Index+1))
 	span := callGap * float64(b.set.Replicas)
+	if within := b.set.Contract.AskWithinMs; within > 0 {
+		span = min(span, askMargin*within) // who has not asked by then counts as told
+	}
 	switch {
 	case b.set.Membership == Watched:
 		turn, span = b.rng.Float64(), min(firstWait*math.Pow(2, float64(b.follows)), longestWait)
