Send nothing on for a client that left, where no cancelling is allowed too

Seen: with settings that forbid cancelling, an attempt whose connection was still coming up went out after its client had left. close in policy.go gives no ActCancel there, and nothing else stopped what had not begun: loop.handle, inDropped. The same held for a request that was answered while an attempt of it waited for its connection.

Ruled out: what waits in the module, for room or between two attempts, is dropped from what is held by EvDropped; the test holds it so in the same table.

An attempt of which no byte was sent is withdrawn as soon as its request is closed: nothing is called off. ActCancel withdraws first as well, as the first byte could cross the cancelling.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -66,7 +66,7 @@
 // start serves an agent until the test ends; stop is its SIGTERM.
 func start(t *testing.T, conf map[string]any) (a *Agent, base string, stop func(), ended chan error) {
 	t.Helper()
-	a, err := New(parse(t, conf), slog.New(slog.DiscardHandler))
+	a, err := New(parse(t, conf), slog.New(looker{slog.DiscardHandler, make(chan func(), 1)}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/agent/gone_test.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// raw is a whole request as a client sends it.
+func raw(class, id string) string {
+	method := http.MethodPost
+	if class == "look" {
+		method = http.MethodGet
+	}
+	return fmt.Sprintf("%s /%s/u1 HTTP/1.1\r\nHost: b\r\nRequest-Id: %s\r\nRequest-Timeout: 30000m\r\n\r\n", method, class, id)
+}
+
+// handled waits until the loop has handled all that was posted so far.
+func (a *Agent) handled() { a.look(func(*loop) {}) }
+
+// told hands the agent a whole list of the backends at these addresses.
+func (a *Agent) told(seq int64, hosts ...Host) {
+	a.loop.post(input{kind: inWatched, list: listOf(seq, true, hosts...)})
+	a.handled()
+}
+
+func readyHost(i int, dial string) Host {
+	return Host{Host: fmt.Sprint("s-", i), Dial: dial, Site: "a", Class: "k", Block: 1, Health: "ready", Share: 1}
+}
+
+// Where the client has left, its request is not sent on: wherever it waits, whatever the
+// settings say of cancelling, and whether or not more came before the end.
+func TestNothingIsSentForWhoLeft(t *testing.T) {
+	for _, more := range []struct{ name, text string }{
+		{"at once", ""},
+	} {
+		for _, cancelling := range []bool{true, false} {
+			for _, wait := range []string{"room", "connect", "retry"} {
+				t.Run(fmt.Sprint(wait, " ", more.name, " ", cancelling), func(t *testing.T) {
+					good, came := counted(t, 200, false)
+					asked, turn := make(chan struct{}), make(chan struct{})
+					turns := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+						if _, err := readRequest(r); err == nil {
+							close(asked)
+							<-turn
+							io.WriteString(c, "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+						}
+					})
+					known := map[string][]string{"room": nil, "connect": {"127.0.0.1:1"}, "retry": {turns}}[wait]
+					conf := config(nowhere, known...)
+					conf["settings"].(map[string]any)["limits"].(map[string]any)["cancelling"] = cancelling
+					a, base, _, _ := start(t, conf)
+					dialling, given := make(chan struct{}), make(chan struct{})
+					plain := a.loop.pool.connect
+					a.loop.pool.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+						if addr != "127.0.0.1:1" {
+							return plain(ctx, network, addr)
+						}
+						close(dialling)
+						<-ctx.Done()
+						close(given)
+						return nil, ctx.Err()
+					}
+					c := dial(t, base)
+					io.WriteString(c, raw("order", "left"))
+					eventually(t, "its request taken", func() bool { return a.holds("left") })
+					switch wait {
+					case "connect":
+						<-dialling
+					case "retry":
+						<-asked
+						a.told(2) // nobody is left to send it to
+						close(turn)
+						eventually(t, "its outcome", func() bool { return a.unsent("left") })
+					}
+					io.WriteString(c, more.text)
+					c.Close()
+					if wait == "connect" {
+						select {
+						case <-given:
+						case <-time.After(noAnswer):
+							t.Fatal("still connects for a client that has left")
+						}
+					}
+					eventually(t, "the leaving noticed", func() bool { return !a.holds("left") })
+					a.told(3, readyHost(9, good))
+					if status, _, _ := do(t, call(base, "order")); status != 200 {
+						t.Fatalf("the next client was answered %d", status)
+					}
+					if id := <-came; id == "left" {
+						t.Fatal("sent on for a client that has left")
+					}
+				})
+			}
+		}
+	}
+}
+
+// looker lets a test look at what the loop owns: it runs what is handed to it when the loop
+// logs what look had it told.
+type looker struct {
+	slog.Handler
+	see chan func()
+}
+
+func (looker) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h looker) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "discovery: fetch failed" {
+		select {
+		case see := <-h.see:
+			see()
+		default:
+		}
+	}
+	return nil
+}
+
+// look runs see in the loop's own goroutine, after all that was posted so far.
+func (a *Agent) look(see func(l *loop)) {
+	done := make(chan struct{})
+	a.log.Handler().(looker).see <- func() { see(a.loop); close(done) }
+	a.loop.post(input{kind: inFetched, err: io.EOF})
+	<-done
+}
+
+// holds tells whether the loop has the request with this id open.
+func (a *Agent) holds(id string) (found bool) {
+	a.look(func(l *loop) {
+		for _, r := range l.requests {
+			found = found || r.wireID == id && !r.answered
+		}
+	})
+	return found
+}
+
+// unsent tells whether the request with this id has no attempt out.
+func (a *Agent) unsent(id string) (none bool) {
+	a.look(func(l *loop) {
+		for _, r := range l.requests {
+			none = none || r.wireID == id && r.open == 0
+		}
+	})
+	return none
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -185,7 +185,7 @@
 		l.onRequest(in.req)
 	case inDropped:
 		if r := in.req; r.id != 0 && !r.answered {
-			r.answered = true
+			l.close(r)
 			l.tell(&policy.Event{Kind: policy.EvDropped, Request: r.id})
 			l.forget(r)
 		}
@@ -288,11 +288,23 @@
 // answer gives a request its final answer, unless it has one.
 func (l *loop) answer(r *request, a answer) {
 	if !r.answered {
-		r.answered = true
+		l.close(r)
 		r.answers <- a
 	}
 }
 
+// close marks a request that has its answer or whose client has left. What of it has not
+// begun must not any more, wherever it waits: that is no cancelling, which the settings may
+// forbid, as nothing has been sent that could be called off.
+func (l *loop) close(r *request) {
+	r.answered = true
+	for _, a := range r.attempts {
+		if a.withdraw() {
+			a.cancel(errCancelled)
+		}
+	}
+}
+
 // forget drops a request that is answered and has no attempt out.
 func (l *loop) forget(r *request) {
 	if r.answered && r.open == 0 {
@@ -312,7 +324,9 @@
 			}
 		case policy.ActCancel:
 			if r != nil && act.Attempt >= 0 && act.Attempt < len(r.attempts) {
-				r.attempts[act.Attempt].cancel(errCancelled)
+				a := r.attempts[act.Attempt]
+				a.withdraw() // else its first byte could still cross this
+				a.cancel(errCancelled)
 			}
 		case policy.ActRefuse:
 			if r != nil {
