Notice that a client left though it sent more before

Seen: a client that sends a byte more while its request waits and then closes is held for present up to its deadline, and its request is sent on. The server looks for the client's end beside the handler with a read of one byte and stops looking when one comes (net/http, connReader.backgroundRead), so hr.Context() never ends.

clientConn.Read goes on reading in that one-byte read until the end or until the answer is out. What comes is kept for the next read, 4 KiB at most; past that the connection ends after its answer, as clients send one request at a time. 18 cases of the test fail without it; requests sent behind an open one are still answered in their order.

--- a/internal/agent/gone_test.go
+++ b/internal/agent/gone_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -39,6 +40,9 @@
 func TestNothingIsSentForWhoLeft(t *testing.T) {
 	for _, more := range []struct{ name, text string }{
 		{"at once", ""},
+		{"after a byte", "G"},
+		{"after another request", raw("look", "other")},
+		{"after a flood", strings.Repeat(raw("look", "other"), 1000)},
 	} {
 		for _, cancelling := range []bool{true, false} {
 			for _, wait := range []string{"room", "connect", "retry"} {
@@ -149,3 +153,40 @@
 	})
 	return none
 }
+
+// Requests that came behind an open one are answered in their order, none lost.
+func TestWhatCameBehindIsAnswered(t *testing.T) {
+	got, release := make(chan string, 10), make(chan struct{})
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			got <- req.Header.Get("Request-Id")
+			<-release
+			io.WriteString(c, okAnswer)
+		}
+	})
+	_, base, _, _ := start(t, config(nowhere, addr))
+	c := dial(t, base)
+	io.WriteString(c, raw("order", "p1"))
+	if id := <-got; id != "p1" {
+		t.Fatalf("got %q", id)
+	}
+	io.WriteString(c, raw("order", "p2")+raw("order", "p3"))
+	close(release)
+	r := bufio.NewReader(c)
+	for range 3 {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || string(body) != "done" {
+			t.Fatalf("got %d %q %v", resp.StatusCode, body, err)
+		}
+	}
+	if a, b := <-got, <-got; a != "p2" || b != "p3" {
+		t.Fatalf("then %q and %q", a, b)
+	}
+}
--- a/internal/agent/places.go
+++ b/internal/agent/places.go
@@ -1,8 +1,11 @@
 package agent
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -39,16 +42,55 @@
 	got    atomic.Bool // something was read from it
 	stage  stage
 	since  time.Time // when the stage began
+	ahead  []byte    // read while a request was open, not yet handed on
+	lost   bool      // some of what came then was not kept: nothing can follow
 }
 
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+// maxAhead bounds what is kept of what a client sends while its request is open.
+const maxAhead = 4 << 10
+
+func (c *clientConn) Read(p []byte) (n int, err error) {
+	switch {
+	case len(c.ahead) > 0:
+		n = copy(p, c.ahead)
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+	case c.lost:
+		return 0, io.EOF
+	default:
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 && !c.got.Load() {
 		c.got.Store(true)
 	}
+	if err == nil && len(p) == 1 && c.places.serves(c) {
+		return n, c.lookOut()
+	}
 	return n, err
 }
 
+// lookOut reads on until the client leaves or the answer is out. The server looks for the
+// client's end beside the handler with a read of one byte, and stops looking when one
+// comes: who sends more and then leaves would be held for present, and its request sent on.
+func (c *clientConn) lookOut() error {
+	more := make([]byte, maxAhead)
+	for {
+		n, err := c.Conn.Read(more)
+		if room := maxAhead - len(c.ahead); n > room {
+			c.lost = true // clients send one request at a time: it will not be missed
+			n = room
+		}
+		c.ahead = append(c.ahead, more[:n]...)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil // the answer is out, or the time to read is over
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 func (c *clientConn) Close() error {
 	c.places.drop(c)
 	return c.Conn.Close()
@@ -197,6 +239,13 @@
 	return nil
 }
 
+// serves tells whether a request of the connection is being answered.
+func (p *places) serves(c *clientConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.stage == busy
+}
+
 func (p *places) drop(c *clientConn) {
 	p.mu.Lock()
 	delete(p.conns, c)
