Tell a client that only ended its sending that its request failed

Seen: the handler returned without a word when the client had gone (ServeHTTP, the case of hr.Context().Done), upon which the server itself wrote 200 with an empty body. To a client that had only ended its sending side that was an answer no backend had made.

Such a client can't be told from one that left: nothing more is sent for it. It now gets 502, which claims nothing, and the connection ends. The test reads 200 without the mend.

--- a/internal/agent/gone_test.go
+++ b/internal/agent/gone_test.go
@@ -154,6 +154,26 @@
 	return none
 }
 
+// A client that only ended its sending side may still read: it is told that its request
+// failed, never that it was served what no backend said.
+func TestHalfClosedClientIsToldTheTruth(t *testing.T) {
+	got := make(chan struct{})
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := readRequest(r); err == nil {
+			close(got)
+			r.ReadByte() // until it is given up
+		}
+	})
+	_, base, _, _ := start(t, config(nowhere, addr))
+	c := dial(t, base)
+	io.WriteString(c, raw("order", "half"))
+	<-got
+	c.(*net.TCPConn).CloseWrite()
+	if said := answered(t, c); !strings.HasPrefix(said, "HTTP/1.1 502") || strings.Count(said, "HTTP/1.1") != 1 {
+		t.Fatalf("said %q", said)
+	}
+}
+
 // Requests that came behind an open one are answered in their order, none lost.
 func TestWhatCameBehindIsAnswered(t *testing.T) {
 	got, release := make(chan string, 10), make(chan struct{})
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -203,6 +203,7 @@
 	case <-hr.Context().Done(): // the client has gone
 		answered = true
 		a.loop.post(input{kind: inDropped, req: r})
+		a.leftBehind(w)
 	case <-guard.C:
 		answered = true
 		a.write(w, http.StatusGatewayTimeout, "", nil)
@@ -338,6 +339,14 @@
 	a.write(w, bad.status, "text/plain", []byte(bad.text+"\n"))
 }
 
+// leftBehind answers a request whose client has gone. One that only ended its sending
+// looks the same and still reads: without a word the server would tell it 200 and nothing,
+// which no backend said. That it failed claims nothing.
+func (a *Agent) leftBehind(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	a.write(w, http.StatusBadGateway, "", nil)
+}
+
 // answer words a final answer.
 func (a *Agent) answer(w http.ResponseWriter, ans answer) {
 	if !a.places.keep() {
