Read the lists of a watch as JSON, over however many lines they come

TestListsOverManyLines shows it: without the mend 'unexpected end of JSON input'.

A streaming decoder reads the watch. White space between two lists is the sign of life that it was; a list that has begun must come whole within the silence and within the bound on lists, so that drips and endless lists end the watch. Other JSON ({}, an error's text) is no list any more: taken for the whole one by a fetch after a reload it would have named nobody and taken all servers away. An answer that points elsewhere is not followed, its head is bounded.

--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -1,8 +1,8 @@
 package agent
 
 import (
-	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -17,11 +17,12 @@
 )
 
 const (
-	// watchSilence ends a watch on which no line came: discovery writes one every 2 s,
+	// watchSilence ends a watch on which nothing came: discovery writes a line every 2 s,
 	// and what it has to tell counts as told after 6 s, asking again included.
 	watchSilence = 3500 * time.Millisecond
 	fetchTimeout = 3 * time.Second
-	maxList      = 4 << 20 // bytes of one list
+	maxList      = 4 << 20  // bytes of one list
+	maxListHead  = 64 << 10 // of the answer's head
 	// What a new discovery tells counts as told after 4 s: the first calls are tried
 	// again for eagerFor, eagerEvery after one that failed or took over eagerTry.
 	eagerFor, eagerEvery, eagerTry = 4 * time.Second, 200 * time.Millisecond, 1300 * time.Millisecond
@@ -50,24 +51,37 @@
 	"ready": policy.Ready, "draining": policy.Draining, "gone": policy.Gone,
 }
 
+var (
+	errSilent      = errors.New("watch fell silent")
+	errListTooLong = errors.New("list: longer than any may be")
+)
+
 // parseList reads one list and reports the first entry that makes no sense.
 func parseList(text []byte) (List, error) {
 	var l List
 	if err := json.Unmarshal(text, &l); err != nil {
 		return l, err
 	}
+	return l, l.check()
+}
+
+// check reports the first part of a list that makes no sense.
+func (l *List) check() error {
+	if l.Hosts == nil {
+		return errors.New("hosts: missing") // of other JSON no list may be made that names nobody
+	}
 	for i, h := range l.Hosts {
 		health, known := healths[h.Health]
 		switch {
 		case h.Host == "":
-			return l, fmt.Errorf("hosts[%d].host: missing", i)
+			return fmt.Errorf("hosts[%d].host: missing", i)
 		case !known:
-			return l, fmt.Errorf("hosts[%d].health: unknown word %q", i, h.Health)
+			return fmt.Errorf("hosts[%d].health: unknown word %q", i, h.Health)
 		case health != policy.Gone && checkAddress(h.Dial) != nil:
-			return l, fmt.Errorf("hosts[%d].dial: no address with a port: %q", i, h.Dial)
+			return fmt.Errorf("hosts[%d].dial: no address with a port: %q", i, h.Dial)
 		}
 	}
-	return l, nil
+	return nil
 }
 
 // entry translates a host for the module. A site or class that the settings don't
@@ -112,7 +126,11 @@
 	d := &discovery{addr: addr, base: "http://" + addr + "/v1/endpoints", gen: gen, silence: watchSilence,
 		// A connection a call: a kept one could break under the next call, which the
 		// transport would then send twice, and each call is work for discovery.
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+		client: &http.Client{
+			Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxListHead},
+			// Discovery is where the configuration says, not where an answer points.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}}
 	d.ctx, d.close = context.WithCancel(ctx)
 	d.post = func(in input) {
 		in.gen = gen
@@ -156,7 +174,9 @@
 		if err != nil {
 			return err
 		}
-		l, err = parseList(text)
+		if l, err = parseList(text); err == nil && !l.Whole {
+			err = errors.New("list: not the whole one")
+		}
 		return err
 	})
 	d.post(input{kind: inFetched, list: l, err: err})
@@ -165,51 +185,91 @@
 // watch follows the changes after version since until the connection ends, falls
 // silent or holds a line that makes no sense.
 func (d *discovery) watch(since int64, eager bool) {
-	var err error
+	var w watched
 	_ = d.eagerly(eager, func() error {
-		var told bool
-		if told, err = d.follow(since, eager); told {
+		w = d.follow(since, eager)
+		if w.told {
 			return nil
 		}
-		return err
+		return w.err
 	})
-	d.post(input{kind: inWatchEnded, err: err})
+	d.post(input{kind: inWatchEnded, err: w.err})
+}
+
+// watched is how a watch went.
+type watched struct {
+	told bool  // a list came
+	err  error // why it ended
 }
 
-// follow is one watch; it reports whether a list came and why it ended.
-func (d *discovery) follow(since int64, eager bool) (told bool, err error) {
-	ctx, cancel := context.WithCancel(d.ctx)
-	defer cancel()
+// follow is one watch.
+func (d *discovery) follow(since int64, eager bool) (w watched) {
+	ctx, cancel := context.WithCancelCause(d.ctx)
+	defer cancel(nil)
 	first := d.silence
 	if eager {
 		first = min(first, eagerTry)
 	}
-	dead := time.AfterFunc(first, cancel)
+	dead := time.AfterFunc(first, func() { cancel(errSilent) })
 	defer dead.Stop()
 	body, err := d.get(ctx, d.base+"?follow=1&since="+strconv.FormatInt(since, 10))
 	if err != nil {
-		return false, err
+		w.err = cmp.Or(context.Cause(ctx), err)
+		return w
 	}
 	defer body.Close()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxList)
-	for lines.Scan() {
-		dead.Reset(d.silence)
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
-			continue
+	f := &feed{from: body, heard: func() { dead.Reset(d.silence) }}
+	lists := json.NewDecoder(f)
+	for {
+		var l List
+		if err := lists.Decode(&l); err != nil {
+			w.err = cmp.Or(context.Cause(ctx), err)
+			return w
 		}
-		l, err := parseList(text)
-		if err != nil {
-			return told, fmt.Errorf("line: %w", err)
+		if err := l.check(); err != nil {
+			w.err = fmt.Errorf("list: %w", err)
+			return w
 		}
-		told = true
+		w.told = true
 		d.post(input{kind: inWatched, list: l})
+		f.next(lists.Buffered())
 	}
-	if err := lines.Err(); err != nil {
-		return told, err
+}
+
+// feed is the text of a watch: lists, each of them over one line or many, and white space
+// between them as a sign of life. A list that has begun must come whole within the time and
+// the length that a list may take.
+type feed struct {
+	from  io.Reader
+	heard func() // something came that proves that the watch lives
+	begun int    // bytes of the list that is coming; 0: between two
+}
+
+func (f *feed) Read(p []byte) (int, error) {
+	n, err := f.from.Read(p)
+	between := f.begun == 0
+	f.count(p[:n])
+	if n > 0 && between {
+		f.heard()
+	}
+	if f.begun > maxList {
+		return 0, errListTooLong
 	}
-	return told, io.EOF
+	return n, err
+}
+
+func (f *feed) count(text []byte) {
+	if f.begun > 0 || len(bytes.TrimSpace(text)) > 0 {
+		f.begun += len(text)
+	}
+}
+
+// next is called after a list; rest is what was read behind it.
+func (f *feed) next(rest io.Reader) {
+	f.heard()
+	f.begun = 0
+	text, _ := io.ReadAll(rest) // of memory: it can't fail
+	f.count(text)
 }
 
 func (d *discovery) get(ctx context.Context, url string) (io.ReadCloser, error) {
--- /dev/null
+++ b/internal/agent/watch_test.go
@@ -0,0 +1,161 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// spoken is a discovery whose watch writes what it is given, piece by piece, until the
+// channel is closed; then the watch ends.
+func spoken(t *testing.T) (*discovery, chan input, chan string) {
+	t.Helper()
+	pieces := make(chan string)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		for {
+			select {
+			case text, more := <-pieces:
+				if !more {
+					return
+				}
+				io.WriteString(w, text)
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	told := make(chan input, 100)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(func() { stop(); s.Close() })
+	return newDiscovery(ctx, s.Listener.Addr().String(), 0, func(in input) { told <- in }), told, pieces
+}
+
+// await takes the next word of a watch.
+func await(t *testing.T, told chan input) input {
+	t.Helper()
+	select {
+	case in := <-told:
+		return in
+	case <-time.After(noAnswer):
+		t.Fatal("told nothing")
+		panic("unreachable")
+	}
+}
+
+// Lists may come indented, over many lines, in any pieces, and several at once.
+func TestListsOverManyLines(t *testing.T) {
+	d, told, pieces := spoken(t)
+	d.silence = never
+	go d.watch(1, false)
+	indented := "{\n  \"seq\": 2,\n\n  \"whole\": false,\n  \"hosts\": [\n    {\n      \"host\": \"s-0\",\n" +
+		"      \"dial\": \"127.0.0.1:1\",\n      \"health\": \"draining\"\n    }\n  ]\n}\n"
+	for _, r := range "\n\n" + indented {
+		pieces <- string(r)
+	}
+	if in := await(t, told); in.kind != inWatched || in.list.Seq != 2 || in.list.Hosts[0].Health != "draining" {
+		t.Fatalf("told %+v", in)
+	}
+	two := strings.Replace(change, `"seq":2`, `"seq":3`, 1) + strings.Replace(indented, `"seq": 2`, `"seq": 4`, 1)
+	pieces <- two + "\n\r\n \t\n"
+	for _, seq := range []int64{3, 4} {
+		if in := await(t, told); in.kind != inWatched || in.list.Seq != seq {
+			t.Fatalf("told %+v, want list %d", in, seq)
+		}
+	}
+	close(pieces)
+	if in := await(t, told); in.kind != inWatchEnded || !errors.Is(in.err, io.EOF) {
+		t.Fatalf("told %+v", in)
+	}
+}
+
+// A list that has begun and does not come to its end is as good as silence, however much
+// white space comes, and no list may be longer than any may be.
+func TestListWithoutEnd(t *testing.T) {
+	t.Run("drip", func(t *testing.T) {
+		heard := 0
+		f := &feed{heard: func() { heard++ }}
+		for _, text := range []string{"\n", "\n", "{\n", " \n", "\n", "\"seq\":2", "\n"} {
+			f.from = strings.NewReader(text)
+			if _, err := f.Read(make([]byte, 100)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if heard != 3 { // the last one begins the list
+			t.Fatalf("%d signs of life, want 3", heard)
+		}
+		if f.next(strings.NewReader("\n")); f.begun != 0 || heard != 4 {
+			t.Fatal("after a list it counts again")
+		}
+		if f.next(strings.NewReader(" {")); f.begun == 0 {
+			t.Fatal("the next list has begun")
+		}
+	})
+	t.Run("length", func(t *testing.T) {
+		d, told, pieces := spoken(t)
+		d.silence = never
+		go d.watch(1, false)
+		go func() {
+			pieces <- `{"seq":2,"more":"`
+			for {
+				select {
+				case pieces <- strings.Repeat("x", 1<<16):
+				case <-d.ctx.Done():
+					return
+				}
+			}
+		}()
+		if in := await(t, told); in.kind != inWatchEnded || !errors.Is(in.err, errListTooLong) {
+			t.Fatalf("told %+v", in)
+		}
+	})
+}
+
+// What is no list changes nothing: neither other JSON, nor part of a list in place of the
+// whole one.
+func TestOtherJSONIsNoList(t *testing.T) {
+	for _, text := range []string{`{}`, `null`, `{"error":"later"}`, `{"seq":9,"whole":true}`, `[]`, `7`} {
+		d, told, pieces := spoken(t)
+		d.silence = never
+		go d.watch(1, false)
+		go func() { pieces <- text + "\n"; close(pieces) }()
+		if in := await(t, told); in.kind != inWatchEnded || in.err == nil {
+			t.Fatalf("%s: a watch told %+v", text, in)
+		}
+		d, told = scripted(t, false, text)
+		d.fetch(false)
+		if in := await(t, told); in.kind != inFetched || in.err == nil {
+			t.Fatalf("%s: a fetch told %+v", text, in)
+		}
+	}
+	d, told := scripted(t, false, change)
+	d.fetch(false)
+	if in := await(t, told); in.err == nil {
+		t.Fatal("a change was taken for the whole list")
+	}
+}
+
+// An answer that points elsewhere is not followed: discovery is where the file says.
+func TestDiscoveryIsNotLedAway(t *testing.T) {
+	other := make(chan struct{}, 10)
+	away := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		other <- struct{}{}
+		fmt.Fprintln(w, change)
+	}))
+	defer away.Close()
+	s := httptest.NewServer(http.RedirectHandler(away.URL, http.StatusFound))
+	defer s.Close()
+	told := make(chan input, 10)
+	d := newDiscovery(t.Context(), s.Listener.Addr().String(), 0, func(in input) { told <- in })
+	d.watch(1, false)
+	if in := await(t, told); in.kind != inWatchEnded || len(other) > 0 {
+		t.Fatalf("told %+v", in)
+	}
+}
