Open a watch anew in the time in which what it misses counts as told

What a silent watch misses counts as told 6 s after it fell silent. Noticing took 3.5 s, then the module's wait: up to 2 s where lists are pushed, and 5 to 10 s where they are asked for (askForList took the end of a watch that had lived for a failed call: span min(2 * callGap * replicas, askWithin)), then a call that might be silent for another 3.5 s. And what the agent's own discovery has when it is back counts at once, while a call that it had left without a word was held for 3.5 s and the next came up to 2 s later; drains have a grace of 1.5 s.

Silence is noticed after 3 s; a watch that had lived is told as lost and opened anew by turns within 1 s where discovery is one service for all, within 0.1 s on the agent's own machine, whose calls are given up after 0.75 s and repeated within 0.5 s. Calls that fail wait as before where they cost others.

--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -18,8 +18,12 @@
 
 const (
 	// watchSilence ends a watch on which nothing came: discovery writes a line every 2 s,
-	// and what it has to tell counts as told after 6 s, asking again included.
-	watchSilence = 3500 * time.Millisecond
+	// and what it has to tell counts as told 6 s after it fell silent, the wait before the
+	// next call and that call included.
+	watchSilence = 3 * time.Second
+	// localFirst is the same for the first word of a watch on the agent's own machine, which
+	// answers at once: what it has when it is back counts as told, and has the drains' grace.
+	localFirst   = 750 * time.Millisecond
 	fetchTimeout = 3 * time.Second
 	maxList      = 4 << 20  // bytes of one list
 	maxListHead  = 64 << 10 // of the answer's head
@@ -117,13 +121,14 @@
 	gen     int // tells the results of one discovery from those of the one before
 	client  *http.Client
 	post    func(input)
-	silence time.Duration
+	first   time.Duration // within which a watch must begin to tell
+	silence time.Duration // after which it has ended
 	ctx     context.Context
 	close   context.CancelFunc // ends all calls
 }
 
 func newDiscovery(ctx context.Context, addr string, gen int, post func(input)) *discovery {
-	d := &discovery{addr: addr, base: "http://" + addr + "/v1/endpoints", gen: gen, silence: watchSilence,
+	d := &discovery{addr: addr, base: "http://" + addr + "/v1/endpoints", gen: gen, first: watchSilence, silence: watchSilence,
 		// A connection a call: a kept one could break under the next call, which the
 		// transport would then send twice, and each call is work for discovery.
 		client: &http.Client{
@@ -193,20 +198,27 @@
 		}
 		return w.err
 	})
-	d.post(input{kind: inWatchEnded, err: w.err})
+	d.post(input{kind: inWatchEnded, err: w.err, lost: w.lost(d.silence)})
 }
 
 // watched is how a watch went.
 type watched struct {
-	told bool  // a list came
-	err  error // why it ended
+	told   bool // a list came
+	alive  bool // anything came
+	lasted time.Duration
+	err    error // why it ended
 }
 
+// lost tells whether a watch that had lived has ended, and no call that failed.
+func (w watched) lost(silence time.Duration) bool { return w.alive && w.lasted >= silence }
+
 // follow is one watch.
 func (d *discovery) follow(since int64, eager bool) (w watched) {
+	began := time.Now()
+	defer func() { w.lasted = time.Since(began) }()
 	ctx, cancel := context.WithCancelCause(d.ctx)
 	defer cancel(nil)
-	first := d.silence
+	first := d.first
 	if eager {
 		first = min(first, eagerTry)
 	}
@@ -218,7 +230,10 @@
 		return w
 	}
 	defer body.Close()
-	f := &feed{from: body, heard: func() { dead.Reset(d.silence) }}
+	f := &feed{from: body, heard: func() {
+		w.alive = true
+		dead.Reset(d.silence)
+	}}
 	lists := json.NewDecoder(f)
 	for {
 		var l List
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -22,7 +22,7 @@
 	inTimer                    // token
 	inFetched                  // list or err, gen
 	inWatched                  // list, gen
-	inWatchEnded               // err, gen
+	inWatchEnded               // err, lost, gen
 	inReload                   // text: the address of discovery
 )
 
@@ -38,7 +38,8 @@
 	token uint32
 	list  List
 	err   error
-	gen   int // of the discovery that was asked
+	lost  bool // the watch had lived before it ended
+	gen   int  // of the discovery that was asked
 	text  string
 }
 
@@ -108,8 +109,10 @@
 	// On sockets even what is pushed reaches only who watches: the module is told so, and
 	// decides when. Taken at its word, "pushed" meant that no agent ever watched and that
 	// each learned of drains from the fetches its own failures caused.
+	first := watchSilence
 	if set.Membership == policy.Pushed {
 		set.Membership = policy.Watched
+		first = localFirst
 	}
 	bal, err := policy.New(set, c.Seed)
 	if err != nil {
@@ -135,6 +138,7 @@
 	}
 	l.ids = newIDMemory(ms(longest) + time.Second) // longer than any request is open
 	l.disc = newDiscovery(ctx, c.Discovery, 0, l.post)
+	l.disc.first = first
 	l.actions = l.bal.Start(l.clock(), l.actions[:0])
 	l.act()
 	l.learn(policy.ListCached, &c.Known)
@@ -223,7 +227,11 @@
 	case inWatchEnded:
 		l.watching = false
 		l.log.Warn("discovery: watch ended", "err", in.err)
-		l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+		how := policy.ListFailed
+		if in.lost {
+			how = policy.ListLost
+		}
+		l.tell(&policy.Event{Kind: policy.EvList, List: how})
 	}
 }
 
@@ -236,7 +244,9 @@
 	}
 	l.log.Info("discovery: changed", "from", l.disc.addr, "to", addr)
 	l.disc.close()
+	first := l.disc.first
 	l.disc = newDiscovery(l.ctx, addr, l.disc.gen+1, l.post)
+	l.disc.first = first
 	l.seq, l.fetching, l.watching = 0, true, true
 	go l.disc.fetch(true)
 	go l.disc.watch(0, true)
--- a/internal/agent/watch_test.go
+++ b/internal/agent/watch_test.go
@@ -5,11 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
+
+	"molepaddle/policy"
 )
 
 // spoken is a discovery whose watch writes what it is given, piece by piece, until the
@@ -53,7 +56,7 @@
 // Lists may come indented, over many lines, in any pieces, and several at once.
 func TestListsOverManyLines(t *testing.T) {
 	d, told, pieces := spoken(t)
-	d.silence = never
+	d.first, d.silence = never, never
 	go d.watch(1, false)
 	indented := "{\n  \"seq\": 2,\n\n  \"whole\": false,\n  \"hosts\": [\n    {\n      \"host\": \"s-0\",\n" +
 		"      \"dial\": \"127.0.0.1:1\",\n      \"health\": \"draining\"\n    }\n  ]\n}\n"
@@ -100,7 +103,7 @@
 	})
 	t.Run("length", func(t *testing.T) {
 		d, told, pieces := spoken(t)
-		d.silence = never
+		d.first, d.silence = never, never
 		go d.watch(1, false)
 		go func() {
 			pieces <- `{"seq":2,"more":"`
@@ -123,10 +126,10 @@
 func TestOtherJSONIsNoList(t *testing.T) {
 	for _, text := range []string{`{}`, `null`, `{"error":"later"}`, `{"seq":9,"whole":true}`, `[]`, `7`} {
 		d, told, pieces := spoken(t)
-		d.silence = never
+		d.first, d.silence = never, never
 		go d.watch(1, false)
 		go func() { pieces <- text + "\n"; close(pieces) }()
-		if in := await(t, told); in.kind != inWatchEnded || in.err == nil {
+		if in := await(t, told); in.kind != inWatchEnded || in.err == nil || in.lost {
 			t.Fatalf("%s: a watch told %+v", text, in)
 		}
 		d, told = scripted(t, false, text)
@@ -142,6 +145,66 @@
 	}
 }
 
+// Only a watch that had lived is told as lost: its module asks again without a back-off.
+func TestLostWatch(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		alive   bool
+		silence time.Duration
+		lost    bool
+	}{
+		{"lived", true, time.Nanosecond, true},
+		{"ended at once", true, never, false},
+		{"never spoke", false, time.Nanosecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, told, pieces := spoken(t)
+			d.first = never
+			go func() {
+				if c.alive {
+					pieces <- change + "\n"
+					await(t, told)
+				}
+				close(pieces)
+			}()
+			if w := d.follow(1, false); w.lost(c.silence) != c.lost {
+				t.Fatalf("lost is not %v after %+v", c.lost, w)
+			}
+		})
+	}
+}
+
+// A discovery on the agent's own machine answers at once: a call without a word is given up
+// soon. Where it is one service for all, calls wait in turn.
+func TestFirstWordOfAWatch(t *testing.T) {
+	for mode, want := range map[string]time.Duration{policy.Pushed: localFirst, policy.OnRequest: watchSilence} {
+		conf := config(nowhere)
+		conf["settings"].(map[string]any)["membershipMode"] = mode
+		a, _, _, _ := start(t, conf)
+		a.look(func(l *loop) {
+			if l.disc.first != want {
+				t.Errorf("%s: waits %v for the first word", mode, l.disc.first)
+			}
+			l.reload("127.0.0.1:2")
+			if l.disc.first != want {
+				t.Errorf("%s: waits %v after a reload", mode, l.disc.first)
+			}
+		})
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // takes the call and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	told := make(chan input, 1)
+	d := newDiscovery(t.Context(), ln.Addr().String(), 0, func(in input) { told <- in })
+	d.first = time.Millisecond
+	go d.watch(1, false)
+	if in := await(t, told); in.kind != inWatchEnded || !errors.Is(in.err, errSilent) || in.lost {
+		t.Fatalf("told %+v", in)
+	}
+}
+
 // An answer that points elsewhere is not followed: discovery is where the file says.
 func TestDiscoveryIsNotLedAway(t *testing.T) {
 	other := make(chan struct{}, 10)
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -536,3 +536,50 @@
 		}
 	}
 }
+
+// A watch that has lived and ended is opened anew while what it misses does not yet count
+// as told: 6 s after it fell silent, of which noticing takes 3 and a call up to 2. So in
+// either mode, however large the fleet and however often it happens.
+func TestLostWatchIsOpenedAnewInTime(t *testing.T) {
+	for _, mode := range []string{OnRequest, Watched} {
+		for _, agents := range []int{1, 6, 300} {
+			set := testSettings()
+			set.Membership, set.Replicas, set.Index = mode, agents, agents-1
+			set.Contract.AskWithinMs = 10000
+			b, err := New(set, uint64(agents))
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Start(0, nil)
+			spans := map[bool]int{}
+			for i := range 200 {
+				a := find(b.Handle(float64(i), &Event{Kind: EvList, List: ListLost}, nil), ActTimer)
+				if a == nil || a.Token != followToken || a.Ms > 1000 {
+					t.Fatalf("%s, %d agents: after a lost watch %+v", mode, agents, a)
+				}
+				spans[a.Ms > min(callGap*float64(agents), 1000)/2]++
+			}
+			if mode == OnRequest && (spans[true] < 60 || spans[false] < 60) {
+				t.Fatalf("%d agents call in step: %v", agents, spans)
+			}
+		}
+	}
+}
+
+// What the agent's own discovery has when it is back counts as told at once: no wait before
+// a call may take the drains' grace, however many calls have failed.
+func TestLocalDiscoveryIsCalledOften(t *testing.T) {
+	set := testSettings()
+	set.Membership = Watched
+	b, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0, nil)
+	for i := range 50 {
+		a := find(b.Handle(float64(i), &Event{Kind: EvList, List: ListFailed}, nil), ActTimer)
+		if a == nil || a.Token != followToken || a.Ms > 500 {
+			t.Fatalf("after %d failed calls %+v", i+1, a)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -72,7 +72,10 @@
 	// callGap is how far apart all agents' calls to one discovery are, in ms; it serves some
 	// more. A watch on the agent's own machine costs nothing: firstWait and longestWait, in
 	// ms, only keep its calls from spinning.
-	callGap, firstWait, longestWait = 75.0, 100.0, 2000.0
+	callGap, firstWait, longestWait = 75.0, 100.0, 500.0
+	// lostWithin is the span of the turns after a watch that lived has ended: what it misses
+	// counts as told 6 s after it fell silent, of which the silence takes 3 and a call 2.
+	lostWithin = 1000.0
 	// askMargin is the part of the contract's time within which the first call must come.
 	askMargin = 0.8
 
@@ -1001,10 +1004,20 @@
 }
 
 func (b *Balancer) onList(ev *Event) {
-	if ev.List == ListFailed {
+	switch ev.List {
+	case ListFailed:
 		b.follows++
 		b.askForList()
 		return
+	case ListLost:
+		b.follows = 0
+		if b.set.Membership == OnRequest {
+			span := min(lostWithin, callGap*float64(b.set.Replicas))
+			b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * span, Token: followToken})
+			return
+		}
+		b.askForList()
+		return
 	}
 	b.follows = 0
 	b.epoch++
--- a/policy/types.go
+++ b/policy/types.go
@@ -176,6 +176,7 @@
 	ListFull
 	ListCached
 	ListFailed
+	ListLost // what followed the list for a while has ended
 )
 
 // Status is how an attempt or a probe ended.
