End after the last connection, and take nothing from one that was closed

Read, and then forced in tests on sockets: - leave ended when no request was being answered ('working == 0'), but a request counted as such only once its body was read. One whose head was read, or that lay in the kernel, was cut off by server.Close. The agent now waits for the connections: silent ones are closed, half requests end by headFor and bodyFor, what remains has its deadline. - Between the read of a request and StateActive a connection looked idle with nothing pending, and SetKeepAlivesEnabled, tidy, a place made for a new one or closeWaiting closed it. Its request went on to a backend all the same, while the client, which saw no answer, sent it once more: two attempts, the second answered 409 as a copy. Bytes that were read now count as coming (places.arrived), and a request read from a connection that was closed is dropped unsent (places.claim). SetKeepAlivesEnabled is no longer called, as it closes past the places' lock; answers say Connection: close instead. - What comes whole more than 0.6 s after SIGTERM is refused at once: SIGKILL may find it unanswered.

SIGTERM before serving, SIGHUP with half a file while leaving, and further SIGTERMs were tried and do no harm; tests keep them. Each test fails with its part of the mend taken out.

--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -178,6 +178,56 @@
 	}
 }
 
+// While it leaves the program answers what it holds, whatever further signals come and
+// whatever stands in the file then.
+func TestSignalsWhileLeaving(t *testing.T) {
+	got, release := make(chan struct{}), make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(got)
+		<-release
+		fmt.Fprint(w, "done")
+	}))
+	defer backend.Close()
+	listen := freeAddress(t)
+	config := strings.Replace(wholeConfig(listen, "127.0.0.1:1", backend.Listener.Addr().String()),
+		`"giveUpMs":1000`, `"giveUpMs":30000`, 1)
+	cmd, out, path := child(t, config)
+	awaitReady(t, listen, out)
+	answered := make(chan string, 1)
+	go func() {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/order/u1", strings.NewReader("x"))
+		req.Header.Set("Request-Id", "1")
+		req.Header.Set("Request-Timeout", "30000m")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		answered <- resp.Status
+	}()
+	<-got
+	signal := func(s syscall.Signal) {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	signal(syscall.SIGHUP)
+	signal(syscall.SIGTERM)
+	write(t, path, config[:len(config)/2]) // half written
+	signal(syscall.SIGHUP)
+	eventually(t, "a word of the half file", out, func() bool { return strings.Contains(out.String(), "kept") })
+	signal(syscall.SIGTERM)
+	signal(syscall.SIGINT)
+	close(release)
+	if status := <-answered; status != "200 OK" {
+		t.Errorf("answered %s; it said %s", status, out)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("ended with %v; it said %s", err, out)
+	}
+}
+
 func TestBadConfig(t *testing.T) {
 	cmd, out, _ := child(t, `{"name":"n0","listen":"127.0.0.1"}`)
 	if err := cmd.Wait(); err == nil {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -394,7 +394,7 @@
 	go ask()
 	<-got
 	stop()
-	for !a.leaving.Load() {
+	for a.leaving.Load() == nil {
 		time.Sleep(time.Millisecond)
 	}
 	go ask() // on a new connection: the first is busy
--- /dev/null
+++ b/internal/agent/leave_test.go
@@ -0,0 +1,227 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// hookConn runs a hook between the read of a client's bytes and their handling.
+type hookConn struct {
+	*net.TCPConn
+	read *atomic.Pointer[func()]
+}
+
+func (c hookConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if hook := c.read.Load(); n > 0 && hook != nil {
+		(*hook)()
+	}
+	return n, err
+}
+
+type hookListener struct {
+	net.Listener
+	read *atomic.Pointer[func()]
+}
+
+func (l hookListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return hookConn{c.(*net.TCPConn), l.read}, nil
+}
+
+// hooked serves an agent whose clients' bytes pass a hook.
+func hooked(t *testing.T, conf map[string]any) (a *Agent, base string, read *atomic.Pointer[func()]) {
+	t.Helper()
+	a, err := New(parse(t, conf), slog.New(looker{slog.DiscardHandler, make(chan func(), 1)}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	read = &atomic.Pointer[func()]{}
+	ctx, stop := context.WithCancel(context.Background())
+	go a.Serve(ctx, hookListener{ln, read})
+	t.Cleanup(func() {
+		stop()
+		a.server.Close()
+		a.stop()
+	})
+	return a, "http://" + ln.Addr().String(), read
+}
+
+// An idle connection that is closed just as its next request is read takes nothing of it:
+// the client finds it closed before an answer and sends the request once more, which then is
+// neither a second attempt nor taken for a copy.
+func TestClosedAsARequestCame(t *testing.T) {
+	addr, came := counted(t, 200, false)
+	for name, closing := range map[string]func(p *places){
+		"leaving":   func(p *places) { p.closeWaiting(false) },
+		"too many":  func(p *places) { p.tidy(time.Now().Add(idleFor)) },
+		"for a new": func(p *places) {
+			one, other := net.Pipe()
+			other.Close()
+			next := &clientConn{Conn: one, places: p}
+			p.take(next, time.Now().Add(idleFor))
+			next.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, base, read := hooked(t, config(nowhere, addr))
+			c := dial(t, base)
+			r := bufio.NewReader(c)
+			first, second := fmt.Sprint("first", lastID.Add(1)), fmt.Sprint("second", lastID.Add(1))
+			io.WriteString(c, raw("order", first))
+			if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 200 {
+				t.Fatalf("got %v, %v", resp, err)
+			}
+			if id := <-came; id != first {
+				t.Fatalf("the backend got %q", id)
+			}
+			eventually(t, "idle", func() bool {
+				a.places.mu.Lock()
+				defer a.places.mu.Unlock()
+				for c := range a.places.conns {
+					return c.stage == idle
+				}
+				return false
+			})
+			a.places.mu.Lock()
+			a.places.many = 0 // too many for tidy
+			if name == "for a new" {
+				a.places.most = 1
+			}
+			a.places.mu.Unlock()
+			cross := func() {
+				read.Store(nil)
+				closing(a.places)
+			}
+			read.Store(&cross)
+			io.WriteString(c, raw("order", second))
+			if resp, err := http.ReadResponse(r, nil); err == nil {
+				t.Fatalf("answered %d on a closed connection", resp.StatusCode)
+			}
+			if a.handled(); len(came) > 0 {
+				t.Fatalf("sent %q on though its client will send it once more", <-came)
+			}
+			a.places.mu.Lock()
+			a.places.most = 100
+			a.places.mu.Unlock()
+			c = dial(t, base)
+			io.WriteString(c, raw("order", second))
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+				t.Fatalf("once more: got %v, %v", resp, err)
+			}
+			if id := <-came; id != second || len(came) > 0 {
+				t.Fatalf("the backend got %q and %d more", id, len(came))
+			}
+		})
+	}
+}
+
+// Bytes that were read of a request keep its connection open, though none waits any more.
+func TestComingRequestKeepsItsConnection(t *testing.T) {
+	addr, _ := counted(t, 200, false)
+	a, base, _ := hooked(t, config(nowhere, addr))
+	c := dial(t, base)
+	r := bufio.NewReader(c)
+	for i, text := range []string{raw("order", "c1"), raw("order", "c2")} {
+		half := len(text) / 2
+		io.WriteString(c, text[:half])
+		eventually(t, "half of it read", func() bool {
+			a.places.mu.Lock()
+			defer a.places.mu.Unlock()
+			for c := range a.places.conns {
+				return c.coming && pending(c.Conn) == 0
+			}
+			return false
+		})
+		a.places.closeWaiting(true)
+		a.places.tidy(time.Now().Add(never))
+		io.WriteString(c, text[half:])
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("request %d: got %v, %v", i, resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+}
+
+// listening tells whether the agent still takes connections.
+func listening(base string) bool {
+	c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	if err == nil {
+		c.Close()
+	}
+	return err == nil
+}
+
+// A request whose head was read when the agent has nothing else to finish is answered, not
+// cut off: it came on a connection that was accepted.
+func TestLeaveWaitsForWhatIsBeingRead(t *testing.T) {
+	addr, _ := counted(t, 200, false)
+	a, base, stop, ended := start(t, config(nowhere, addr))
+	c := dial(t, base)
+	text := strings.Replace(raw("order", "late"), "\r\n\r\n", "\r\nContent-Length: 8\r\n\r\n", 1)
+	stop()
+	eventually(t, "leaving", func() bool { return a.leaving.Load() != nil })
+	io.WriteString(c, text+"half")
+	eventually(t, "no more connections", func() bool { return !listening(base) })
+	// Long past the time left to settle: whoever ends by it has ended.
+	select {
+	case err := <-ended:
+		t.Errorf("ended with half a request read: %v", err)
+	case <-time.After(4 * settleFor):
+	}
+	io.WriteString(c, "rest")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || !resp.Close {
+		t.Fatalf("got %v, %v; want an answer and the connection's end", resp, err)
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What comes so late after SIGTERM that SIGKILL might find it unanswered is refused at once,
+// and not sent on.
+func TestLateRequestsAreRefused(t *testing.T) {
+	addr, came := counted(t, 200, false)
+	a, base, _, _ := start(t, config(nowhere, addr))
+	long := time.Now().Add(-refuseAfter)
+	a.leaving.Store(&long)
+	status, _, head := do(t, call(base, "order"))
+	if status != http.StatusServiceUnavailable || head.Get("Retry-After") != "0.6" || len(came) > 0 {
+		t.Fatalf("answered %d, Retry-After %q, %d sent on", status, head.Get("Retry-After"), len(came))
+	}
+}
+
+// SIGTERM before the agent serves, and nothing to finish: it ends without an error.
+func TestLeaveBeforeServing(t *testing.T) {
+	a, err := New(parse(t, config(nowhere)), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if err := a.Serve(ctx, ln); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/agent/places.go
+++ b/internal/agent/places.go
@@ -42,6 +42,8 @@
 	got    atomic.Bool // something was read from it
 	stage  stage
 	since  time.Time // when the stage began
+	coming bool      // bytes of its next request were read
+	closed bool      // by its places: no request of it is taken any more
 	ahead  []byte    // read while a request was open, not yet handed on
 	lost   bool      // some of what came then was not kept: nothing can follow
 }
@@ -64,15 +66,21 @@
 	if n > 0 && !c.got.Load() {
 		c.got.Store(true)
 	}
-	if err == nil && len(p) == 1 && c.places.serves(c) {
-		return n, c.lookOut()
+	if n > 0 {
+		// Beside the handler the server looks for the client's end with a read of one byte.
+		taken, open := c.places.arrived(c, len(p) == 1)
+		if !taken {
+			return 0, net.ErrClosed // closed as this came: to the client it was never read
+		}
+		if open && err == nil && len(p) == 1 {
+			return n, c.lookOut()
+		}
 	}
 	return n, err
 }
 
-// lookOut reads on until the client leaves or the answer is out. The server looks for the
-// client's end beside the handler with a read of one byte, and stops looking when one
-// comes: who sends more and then leaves would be held for present, and its request sent on.
+// lookOut reads on until the client leaves or the answer is out. The server stops looking
+// for the client's end when a byte comes: who sends more and then leaves would be held for present, and its request sent on.
 func (c *clientConn) lookOut() error {
 	more := make([]byte, maxAhead)
 	for {
@@ -105,6 +113,12 @@
 	return nil
 }
 
+// resting tells whether the connection is between two requests and nothing of the next has
+// come. The places are locked.
+func (c *clientConn) resting() bool {
+	return c.stage == idle && !c.coming && pending(c.Conn) <= 0
+}
+
 // silent tells whether nothing has come on the connection, not even unread.
 func (c *clientConn) silent() bool {
 	return !c.got.Load() && pending(c.Conn) == 0
@@ -197,8 +211,7 @@
 		if least == nil {
 			return false
 		}
-		delete(p.conns, least)
-		least.Conn.Close()
+		p.shut(least)
 	}
 	p.conns[c] = struct{}{}
 	return true
@@ -214,6 +227,7 @@
 	for c := range p.conns {
 		kind, age := kinds, now.Sub(c.since)
 		switch {
+		case c.stage == idle && c.coming:
 		case c.stage == idle && age >= idleFor:
 			kind = 0
 		case c.stage == fresh && c.got.Load() && age >= unfinishedFor:
@@ -239,11 +253,36 @@
 	return nil
 }
 
-// serves tells whether a request of the connection is being answered.
-func (p *places) serves(c *clientConn) bool {
+// arrived notes that bytes were read from a connection, ahead of its request's answer or as
+// a part of a request. It reports whether they may count, and whether a request is open. A
+// connection that was closed between the read and this takes nothing: its client, which
+// found it closed before an answer, sends the request once more.
+func (p *places) arrived(c *clientConn, ahead bool) (taken, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open = c.stage == busy
+	c.coming = c.coming || !open || ahead
+	return !c.closed, open
+}
+
+// claim takes a connection's request to be answered, unless the connection was closed.
+func (p *places) claim(c *clientConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return c.stage == busy
+	if c.closed {
+		return false
+	}
+	if c.stage != rejected {
+		c.stage, c.since = busy, time.Now()
+	}
+	return true
+}
+
+// shut closes a connection on which no request is open. The places are locked.
+func (p *places) shut(c *clientConn) {
+	delete(p.conns, c)
+	c.closed = true
+	c.Conn.Close()
 }
 
 func (p *places) drop(c *clientConn) {
@@ -258,6 +297,9 @@
 	if c.stage != rejected {
 		c.stage, c.since = to, time.Now()
 	}
+	if to == busy {
+		c.coming = false // it has come
+	}
 	p.mu.Unlock()
 }
 
@@ -302,21 +344,20 @@
 		return
 	}
 	for c := range p.conns {
-		if c.stage == idle && now.Sub(c.since) >= idleFor && pending(c.Conn) <= 0 {
-			delete(p.conns, c)
-			c.Conn.Close()
+		if c.resting() && now.Sub(c.since) >= idleFor {
+			p.shut(c)
 		}
 	}
 }
 
-// closeWaiting closes the connections on which no request is open or coming in.
-func (p *places) closeWaiting() {
+// closeWaiting closes the connections on which no request is open or coming in: those
+// between two requests and, where fresh ones are asked for too, those that said nothing yet.
+func (p *places) closeWaiting(freshToo bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if c.stage == idle && pending(c.Conn) == 0 || c.stage == fresh && c.silent() {
-			delete(p.conns, c)
-			c.Conn.Close()
+		if c.resting() || freshToo && c.stage == fresh && c.silent() {
+			p.shut(c)
 		}
 	}
 }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -26,8 +26,11 @@
 	// later than the module's own last word.
 	guardMargin = 2 * time.Millisecond
 	// acceptFor is how long connections are taken after SIGTERM: they go on coming for
-	// up to 0.4 s. settleFor is left to what was accepted last to be read.
+	// up to 0.4 s. settleFor is left to what was accepted last to be read. What comes whole
+	// after refuseAfter is refused: SIGKILL may come before its answer could.
 	acceptFor, settleFor = 450 * time.Millisecond, 50 * time.Millisecond
+	refuseAfter          = 600 * time.Millisecond
+	leaveEvery           = 5 * time.Millisecond // how often who leaves looks through the connections
 	// headFor and bodyFor are how long a request's head and body may take to come: bad
 	// clients are owed an error or a close within 3 s of connecting.
 	headFor, bodyFor = 1500 * time.Millisecond, time.Second
@@ -62,9 +65,8 @@
 	server  *http.Server
 	conf    *Config
 	log     *slog.Logger
-	leaving atomic.Bool
-	working atomic.Int64 // requests taken and not yet answered
-	bodies  atomic.Int64 // bytes of the bodies held
+	leaving atomic.Pointer[time.Time] // since when; nil: not
+	bodies  atomic.Int64              // bytes of the bodies held
 	places  *places
 	stop    context.CancelFunc
 }
@@ -130,27 +132,33 @@
 	}
 }
 
-// leave ends the agent in order: clients go on coming for a while after the signal,
-// so idle connections are closed first, while what crosses that can still come on a
-// new one; then the listener; then all that is held is answered. Connections that are
-// silent or hold half a request are not waited for.
+// leave ends the agent in order: clients go on coming for a while after the signal, so
+// idle connections are closed first, while what crosses that can still come on a new one;
+// then the listener; then all that is held is answered. A request counts as soon as it was
+// written to a connection that was accepted, read or not, so the agent ends only when no
+// connection is left: those that are silent are closed, those that hold half a request end
+// by the times in which a request has to come.
 func (a *Agent) leave(ln net.Listener) error {
-	a.leaving.Store(true)
-	a.server.SetKeepAlivesEnabled(false)
-	time.Sleep(acceptFor)
-	ln.Close()
+	began := time.Now()
+	a.leaving.Store(&began)
 	longest := 0.0
 	for _, c := range a.conf.Settings.Classes {
 		longest = max(longest, c.GiveUpMs)
 	}
-	settled := time.Now().Add(settleFor)
-	for end := time.Now().Add(ms(longest) + settleFor); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		a.places.closeWaiting()
-		if a.places.count() == 0 || a.working.Load() == 0 && time.Now().After(settled) {
+	last := acceptFor + settleFor + headFor + bodyFor + ms(longest) + settleFor
+	for {
+		since := time.Since(began)
+		settled := since >= acceptFor+settleFor
+		if since >= acceptFor {
+			ln.Close()
+		}
+		a.places.closeWaiting(settled)
+		if settled && (a.places.count() == 0 || since >= last) {
 			break
 		}
+		time.Sleep(leaveEvery)
 	}
-	return a.server.Close() // what is left is over its deadline, or never sent a request
+	return a.server.Close() // what is left is over its deadline, or does not read its answer
 }
 
 // problem is why a request is not taken.
@@ -162,6 +170,9 @@
 // ServeHTTP takes one request and gives it one answer.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	came := time.Now()
+	if c, ok := hr.Context().Value(connKey{}).(*clientConn); ok && !a.places.claim(c) {
+		panic(http.ErrAbortHandler) // closed as this came: its client sends it once more
+	}
 	if hr.Method == http.MethodGet && hr.RequestURI == "/ready" {
 		a.serveReady(w)
 		return
@@ -186,9 +197,12 @@
 		a.reject(w, hr, bad)
 		return
 	}
-	a.working.Add(1)
-	defer a.working.Add(-1)
 	defer a.bodies.Add(-int64(len(r.body)))
+	if left := a.leaving.Load(); left != nil && time.Since(*left) >= refuseAfter {
+		answered = true
+		a.answer(w, answer{status: policy.Full, retryAfter: ms(a.conf.Settings.Limits.MaxRetryAfterMs)})
+		return
+	}
 	guard := time.NewTimer(time.Until(r.deadline) - guardMargin)
 	defer guard.Stop()
 	a.loop.post(input{kind: inRequest, req: r})
@@ -212,7 +226,7 @@
 }
 
 func (a *Agent) serveReady(w http.ResponseWriter) {
-	if a.leaving.Load() || !a.loop.ready.Load() {
+	if a.leaving.Load() != nil || !a.loop.ready.Load() {
 		http.Error(w, "no backend to send to", http.StatusServiceUnavailable)
 		return
 	}
@@ -365,11 +379,13 @@
 	}
 }
 
-// write sends an answer. While the agent leaves, the server closes the connection after
-// it, and it must be out before it counts as answered.
+// write sends an answer. While the agent leaves, its connection ends with it.
 func (a *Agent) write(w http.ResponseWriter, status int, kind string, body []byte) {
 	h := w.Header()
 	h["Date"] = nil
+	if a.leaving.Load() != nil {
+		h.Set("Connection", "close")
+	}
 	if kind == "" {
 		h["Content-Type"] = nil // not to be guessed
 	} else {
@@ -378,9 +394,6 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(body) // an error means that the client has gone
-	if a.leaving.Load() {
-		_ = http.NewResponseController(w).Flush()
-	}
 }
 
 // parseTimeout reads a number and a unit, m for milliseconds or u for microseconds.
