--- a/internal/agent/leave_test.go
+++ b/internal/agent/leave_test.go
@@ -69,8 +69,8 @@
 func TestClosedAsARequestCame(t *testing.T) {
 	addr, came := counted(t, 200, false)
 	for name, closing := range map[string]func(p *places){
-		"leaving":   func(p *places) { p.closeWaiting(false) },
-		"too many":  func(p *places) { p.tidy(time.Now().Add(idleFor)) },
+		"leaving":  func(p *places) { p.closeWaiting(false) },
+		"too many": func(p *places) { p.tidy(time.Now().Add(idleFor)) },
 		"for a new": func(p *places) {
 			one, other := net.Pipe()
 			other.Close()
