Take deadlines of over a minute where the settings give them

A minute is still taken where classes are shorter: clients may wait for longer than their class is worth anything.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -248,6 +248,26 @@
 	}
 }
 
+// How long a request may wait is for the settings to say: a class may have minutes.
+func TestDeadlinesOfTheSettings(t *testing.T) {
+	addr, _ := counted(t, 200, false)
+	conf := config(nowhere, addr)
+	conf["settings"].(map[string]any)["classes"].([]any)[2].(map[string]any)["giveUpMs"] = 300000
+	_, base, _, _ := start(t, conf)
+	for text, want := range map[string]int{
+		"75000m": 200, "300000m": 200, "300000000u": 200, // within the longest class's
+		"300001m": 400, "18446744073709551615m": 400, "-75000m": 400, "75000": 400, "m": 400,
+	} {
+		for class, want := range map[string]int{"order": want, "look": want} {
+			req := call(base, class)
+			req.Header.Set("Request-Timeout", text)
+			if status, said, _ := do(t, req); status != want {
+				t.Errorf("%s, %s: answered %d %q, want %d", class, text, status, said, want)
+			}
+		}
+	}
+}
+
 // The last guard answers should the loop never do.
 func TestGuard(t *testing.T) {
 	conf := parse(t, config(nowhere))
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -37,10 +37,11 @@
 	// keepIdle is how long a client's connection stays open between requests when its
 	// place is not needed.
 	keepIdle = 15 * time.Second
-	// maxHead bounds a request's head, maxTimeout is the longest deadline there is.
-	maxHead    = 16 << 10
-	maxTimeout = time.Minute
-	maxWord    = 256 // bytes of a Request-Id or a Host
+	// maxHead bounds a request's head. leastTimeout is up to where any deadline makes sense,
+	// whatever the classes' own are.
+	maxHead      = 16 << 10
+	leastTimeout = time.Minute
+	maxWord      = 256 // bytes of a Request-Id or a Host
 )
 
 // backendSockets is the part of the descriptors for connections to backends;
@@ -64,6 +65,7 @@
 	loop    *loop
 	server  *http.Server
 	conf    *Config
+	longest time.Duration // the longest deadline there is
 	log     *slog.Logger
 	leaving atomic.Pointer[time.Time] // since when; nil: not
 	bodies  atomic.Int64              // bytes of the bodies held
@@ -79,14 +81,17 @@
 		stop()
 		return nil, err
 	}
-	a := &Agent{loop: l, conf: c, log: log, stop: stop}
+	a := &Agent{loop: l, conf: c, log: log, stop: stop, longest: leastTimeout}
+	for _, class := range c.Settings.Classes {
+		a.longest = max(a.longest, ms(class.GiveUpMs))
+	}
 	a.places = newPlaces(clientSockets(c.Limits.Sockets), keptSockets(c.Limits.Sockets))
 	a.server = &http.Server{
 		Handler:           a,
 		ReadHeaderTimeout: headFor,
 		IdleTimeout:       keepIdle,
 		MaxHeaderBytes:    maxHead,
-		WriteTimeout:      maxTimeout + 5*time.Second, // a client that never reads
+		WriteTimeout:      a.longest + 5*time.Second, // a client that never reads
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnState:         a.places.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -141,11 +146,7 @@
 func (a *Agent) leave(ln net.Listener) error {
 	began := time.Now()
 	a.leaving.Store(&began)
-	longest := 0.0
-	for _, c := range a.conf.Settings.Classes {
-		longest = max(longest, c.GiveUpMs)
-	}
-	last := acceptFor + settleFor + headFor + bodyFor + ms(longest) + settleFor
+	last := acceptFor + settleFor + headFor + bodyFor + a.longest + settleFor
 	for {
 		since := time.Since(began)
 		settled := since >= acceptFor+settleFor
@@ -285,7 +286,7 @@
 	if set.Effect == policy.Free {
 		want = http.MethodGet
 	}
-	left, err := parseTimeout(timeout)
+	left, err := parseTimeout(timeout, a.longest)
 	switch {
 	case hr.Method != want:
 		return nil, &problem{http.StatusMethodNotAllowed, "this class is asked with " + want}
@@ -397,7 +398,7 @@
 }
 
 // parseTimeout reads a number and a unit, m for milliseconds or u for microseconds.
-func parseTimeout(text string) (time.Duration, error) {
+func parseTimeout(text string, longest time.Duration) (time.Duration, error) {
 	unit := time.Duration(0)
 	switch {
 	case strings.HasSuffix(text, "m"):
@@ -408,8 +409,8 @@
 		return 0, errors.New("no number with the unit m or u")
 	}
 	n, err := strconv.ParseUint(text[:len(text)-1], 10, 63)
-	if err != nil || n == 0 || n > uint64(maxTimeout/unit) {
-		return 0, errors.New("no number above 0 and within a minute")
+	if err != nil || n == 0 || n > uint64(longest/unit) {
+		return 0, fmt.Errorf("no number above 0 and within %v", longest)
 	}
 	return time.Duration(n) * unit, nil
 }
