Let a connection rest as long as second answers come late

Nothing in an answer tells which request it belongs to.

A connection rests 10 ms now. The wait ends with its attempt, which was not so before (time.Sleep): who left or was withdrawn meanwhile sends nothing, and the connection stays for others. Both tests hold the rest open and let the crossing happen in it.

--- a/internal/agent/gone_test.go
+++ b/internal/agent/gone_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"molepaddle/policy"
 )
 
 // raw is a whole request as a client sends it.
@@ -210,3 +212,80 @@
 		t.Fatalf("then %q and %q", a, b)
 	}
 }
+
+// resting is a backend's group with one connection at rest, which an attempt waits for until
+// the test ends its rest. The backend writes what it is told, beyond its answers.
+func resting(t *testing.T) (g *group, kept *conn, waits *attempt, done chan result, rested chan time.Time, beyond, came chan string) {
+	beyond, came = make(chan string), make(chan string, 10)
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			came <- req.Header.Get("Request-Id")
+			io.WriteString(c, okAnswer)
+			go func() {
+				for text := range beyond {
+					io.WriteString(c, text)
+				}
+			}()
+		}
+	})
+	t.Cleanup(func() { close(beyond) })
+	p := testPool()
+	rested = make(chan time.Time)
+	asked := make(chan struct{}, 10)
+	p.after = func(time.Duration) <-chan time.Time {
+		asked <- struct{}{}
+		return rested
+	}
+	g = p.group(addr)
+	t.Cleanup(g.closeIdle)
+	if res := newAttempt(g, http.MethodPost, never).run(); res.status != policy.OK {
+		t.Fatalf("ended %d", res.status)
+	}
+	p.mu.Lock()
+	kept = g.spare[0]
+	kept.since = time.Now().Add(never) // so that it rests however slow the test is
+	p.mu.Unlock()
+	<-came
+	waits = newAttempt(g, http.MethodPost, never)
+	waits.req.wireID = "next"
+	done = make(chan result, 1)
+	go func() { done <- waits.run() }()
+	<-asked
+	return g, kept, waits, done, rested, beyond, came
+}
+
+// A second answer that comes some milliseconds behind the first must not meet the next
+// request on the connection.
+func TestLateSecondAnswer(t *testing.T) {
+	_, kept, _, done, rested, beyond, _ := resting(t)
+	beyond <- strings.Replace(okAnswer, "done", "gone", 1)
+	eventually(t, "the second answer there", func() bool { return pending(kept.Conn) == 1 })
+	close(rested)
+	if res := <-done; res.status != policy.OK || string(res.body) != "done" {
+		t.Fatalf("ended %d with the body %q", res.status, res.body)
+	}
+}
+
+// An attempt that waits for a connection at rest ends with its request, sends nothing, and
+// leaves the connection to others.
+func TestLeavingEndsTheRest(t *testing.T) {
+	g, _, waits, done, rested, _, came := resting(t)
+	waits.withdraw()
+	waits.cancel(errCancelled)
+	if res := <-done; res.status != policy.Cancelled {
+		t.Fatalf("ended %d", res.status)
+	}
+	close(rested)
+	if len(came) > 0 {
+		t.Fatalf("the backend got %q", <-came)
+	}
+	g.pool.mu.Lock()
+	defer g.pool.mu.Unlock()
+	if len(g.spare) != 1 || g.pool.open != 1 {
+		t.Fatalf("%d connections at rest, %d open", len(g.spare), g.pool.open)
+	}
+}
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -11,16 +11,18 @@
 )
 
 // settle is how long a connection rests before it is used again: what a backend sends
-// beyond its answer comes right behind it, and is seen by then.
-const settle = time.Millisecond
+// beyond its answer comes some milliseconds behind it, and is seen by then. A second answer
+// that met the next request there would be taken for its own.
+const settle = 10 * time.Millisecond
 
 // pool opens connections to backends within the process's share of descriptors and
 // keeps those that stand idle. It is a pool of its own since http.Transport may hand a
 // connection to the next request before it sees that bytes of the last are left over.
 type pool struct {
 	connect func(ctx context.Context, network, addr string) (net.Conn, error)
-	timeout time.Duration // of a connect
-	idle    time.Duration // how long a connection is kept without use
+	after   func(time.Duration) <-chan time.Time // time.After, but for tests
+	timeout time.Duration                        // of a connect
+	idle    time.Duration                        // how long a connection is kept without use
 	most    int
 
 	mu       sync.Mutex
@@ -65,7 +67,7 @@
 var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
 
 func newPool(connect func(context.Context, string, string) (net.Conn, error), timeout, idle time.Duration, most int) *pool {
-	return &pool{connect: connect, timeout: timeout, idle: idle, most: most, spare: list.New()}
+	return &pool{connect: connect, after: time.After, timeout: timeout, idle: idle, most: most, spare: list.New()}
 }
 
 func (p *pool) group(dial string) *group { return &group{pool: p, dial: dial} }
@@ -78,7 +80,14 @@
 	limit := p.ages.limit(p.idle)
 	for c := g.pick(time.Now()); c != nil; c = g.pick(time.Now()) {
 		p.mu.Unlock()
-		time.Sleep(settle - time.Since(c.since))
+		if rest := settle - time.Since(c.since); rest > 0 {
+			select {
+			case <-p.after(rest):
+			case <-ctx.Done():
+				g.put(c)
+				return nil, ctx.Err()
+			}
+		}
 		if c.age = time.Since(c.since); c.age <= limit && pending(c.Conn) == 0 {
 			return c, nil
 		}
