Begin no repeat of a keyed request after its time, however late its connection

A keyed request that may have run may be sent again for keyTtlMs after its first sending.

Ruled out: the time-out of the attempt does not bound it, it is the client's deadline. Taking the connect's time off keyTtlMs would forbid repeats that do no harm, so the action tells how soon it must begin, and backend.go drops an attempt that comes up later, unsent ('moot').

--- a/internal/agent/attempt_test.go
+++ b/internal/agent/attempt_test.go
@@ -287,6 +287,39 @@
 	}
 }
 
+// A repeat that may begin only for a while is not begun after it, though its connection came
+// up: no byte goes out, and it never ran.
+func TestTooLateToBegin(t *testing.T) {
+	read := make(chan int64, 1)
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		n, _ := io.Copy(io.Discard, r)
+		read <- n
+	})
+	p := testPool()
+	var a *attempt
+	plain := p.connect
+	p.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := plain(ctx, network, addr)
+		a.before = time.Now().Add(-time.Nanosecond) // it took that long
+		return c, err
+	}
+	a = newAttempt(p.group(addr), http.MethodPost, never)
+	a.before = time.Now().Add(never)
+	if got := a.run().status; got != policy.Moot {
+		t.Fatalf("ended %d, want never begun", got)
+	}
+	if n := <-read; n != 0 {
+		t.Fatalf("the backend got %d bytes", n)
+	}
+	p.connect = plain
+	a = newAttempt(p.group(addr), http.MethodPost, never)
+	a.before = time.Now().Add(never)
+	go a.run()
+	eventually(t, "one in time begun", func() bool { return a.stage.Load() == sending })
+	a.cancel(errCancelled)
+	<-read
+}
+
 // Without a socket left the attempt never ran, and its backend is not to blame.
 func TestNoSocketLeft(t *testing.T) {
 	p := testPool()
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -30,6 +30,7 @@
 	errSockets   = errors.New("no socket left for a new connection")
 	errCancelled = errors.New("attempt cancelled")
 	errDrained   = errors.New("backend drains or is gone")
+	errLate      = errors.New("too late for the attempt to begin")
 )
 
 // backend is one listed server. The loop owns it; the group of its connections is
@@ -56,6 +57,7 @@
 	backend *backend
 	group   *group // the backend's connections when the attempt began
 	started time.Time
+	before  time.Time // it must have begun by then; zero: at any time
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -124,6 +126,9 @@
 		a.withdraw()
 		return res, err
 	}
+	if !a.before.IsZero() && time.Now().After(a.before) {
+		return res, errLate
+	}
 	if !a.begin() {
 		return res, errWithdrawn
 	}
@@ -237,6 +242,8 @@
 	never := a.withdraw()
 	cause := context.Cause(a.ctx)
 	switch {
+	case never && errors.Is(err, errLate):
+		return policy.Moot
 	case never && (errors.Is(err, errSockets) || errors.Is(cause, errDrained)):
 		return policy.Full
 	case errors.Is(cause, errCancelled):
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -378,6 +378,9 @@
 		b = &backend{addr: act.Server, group: l.pool.group("")}
 	}
 	a := &attempt{req: r, index: len(r.attempts), backend: b, group: b.group, started: time.Now()}
+	if act.WithinMs > 0 {
+		a.before = a.started.Add(ms(act.WithinMs))
+	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
 	var stop context.CancelFunc
 	a.ctx, stop = context.WithTimeout(ctx, ms(act.Ms))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -552,7 +552,7 @@
 	case Free:
 		return true
 	case Guarded:
-		if b.now-r.ranAt > c.KeyTTLMs-2*b.set.RoundMs {
+		if b.repeatWithin(r) <= 0 {
 			return false
 		}
 		return c.Group == GroupAll || c.Group == GroupZone && s.zone == r.ranOn.zone ||
@@ -561,6 +561,11 @@
 	return false
 }
 
+// repeatWithin is for how long a keyed request that may have run may still be sent again.
+func (b *Balancer) repeatWithin(r *request) float64 {
+	return r.ranAt + b.set.Classes[r.class].KeyTTLMs - 2*b.set.RoundMs - b.now
+}
+
 func (b *Balancer) send(r *request, s *server) bool {
 	if !b.maySend(r, s) {
 		return false
@@ -568,8 +573,11 @@
 	a := &attempt{r: r, s: s, index: len(r.attempts), alone: len(s.out) == 0, sentAt: b.now, cost: b.cost(r)}
 	r.attempts = append(r.attempts, a)
 	r.open++
+	within := 0.0
 	if r.risky == 0 {
 		r.ranAt, r.ranOn = b.now, s
+	} else if b.set.Classes[r.class].Effect == Guarded {
+		within = b.repeatWithin(r)
 	}
 	r.risky++
 	s.out = append(s.out, a)
@@ -581,7 +589,7 @@
 	if b.ramp(s) < 1 {
 		s.credit -= a.cost
 	}
-	b.do(Action{Kind: ActSend, Request: r.id, Server: s.id, Ms: r.deadline - b.now})
+	b.do(Action{Kind: ActSend, Request: r.id, Server: s.id, Ms: r.deadline - b.now, WithinMs: within})
 	return true
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -203,11 +203,19 @@
 func TestGuardedStaysInItsGroupAndTime(t *testing.T) {
 	r := newRig(t, testSettings(), 6)
 	id, s := r.sent(2, 5)
+	if first := find(r.b.out, ActSend); first == nil || first.WithinMs != 0 {
+		t.Fatalf("the first attempt may not begin at any time: %+v", first)
+	}
 	actions := r.outcome(id, 0, s, Error, 20)
 	a := find(actions, ActSend)
 	if a == nil || r.b.byAddr[a.Server].cell != r.b.byAddr[s].cell {
 		t.Fatalf("a guarded repeat did not stay in its cell: %+v", actions)
 	}
+	// A connection that comes up late must not carry it past that time.
+	ttl := r.b.set.Classes[2].KeyTTLMs
+	if sent := r.b.requests[id].ranAt; a.WithinMs <= 0 || r.now+a.WithinMs > sent+ttl {
+		t.Errorf("a repeat %v ms after the first may begin within %v ms of %v", r.now-sent, a.WithinMs, ttl)
+	}
 	r.now += 496 // just inside the 500 ms less the margin
 	actions = r.outcome(id, 1, a.Server, Error, 20)
 	if find(actions, ActSend) != nil || find(actions, ActFail) == nil && len(r.b.held) == 0 {
--- a/policy/types.go
+++ b/policy/types.go
@@ -239,7 +239,7 @@
 
 // The actions.
 const (
-	ActSend   ActionKind = iota + 1 // Request, Server, Ms: time-out
+	ActSend   ActionKind = iota + 1 // Request, Server, Ms: time-out, WithinMs
 	ActCancel                       // Request, Attempt
 	ActRefuse                       // Request, Ms: advice
 	ActFail                         // Request
@@ -258,6 +258,9 @@
 	Server  Addr
 	Attempt int
 	Ms      float64
-	Token   uint32
-	Text    string
+	// WithinMs is how soon an attempt must begin: one that can't, as its connection comes up
+	// late, must not begin at all. 0: at any time.
+	WithinMs float64
+	Token    uint32
+	Text     string
 }
