Let go of attempts on servers that fell silent, before their deadlines

Ruled out: demotion (watchSilence demotes within some answer times), holds, the clients' places.

An attempt on a server that is silent and demoted is called off where the request may be sent again in time; else the request ends at its aim if late answers are worth nothing, as those held do; and after eight answer times without a word it no longer counts for the limit, until the server answers again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -267,7 +267,7 @@
 // nothing out until they were forgotten: a whole fleet shut and opened in step, 54 requests
 // were out on 32 servers one second and 490 two seconds before, which tipped them.
 func (b *Balancer) mayTry() bool {
-	out, room := float64(b.inflight), b.share()*b.boost
+	out, room := float64(b.inflight-b.stuck), b.share()*b.boost
 	return out < max(room, 1) && (room >= 1 || b.now-b.triedAt >= b.meanRTT/room)
 }
 
@@ -307,7 +307,7 @@
 		b.meanRTT = mean(b.meanRTT, rtt, smooth)
 	}
 	switch {
-	case over > 0 && (st == OK || st == Full || st == Cancelled || st == Timeout && !a.s.silent):
+	case over > 0 && (st == OK || st == Full || st == Cancelled && !a.called || st == Timeout && !a.s.silent):
 		b.boost = max(b.boost*(1-boostCut*over), 1)
 	case st == OK:
 		b.again = min(b.again+againShare, againMost)
@@ -658,6 +658,9 @@
 	a.done = true
 	r.open--
 	b.inflight--
+	if a.stuck {
+		b.stuck--
+	}
 	if i := slices.Index(s.out, a); i >= 0 {
 		s.out = slices.Delete(s.out, i, i+1)
 	}
@@ -737,7 +740,7 @@
 			b.demote(s, true)
 		}
 	case Cancelled:
-		// Its client left: so long at least it takes.
+		// Its client left: so long at least it takes. A silent server is demoted already.
 		if x := b.partOfAim(a.r, rtt); x > b.pace(s) {
 			b.learnPace(s, x)
 		}
@@ -843,6 +846,12 @@
 		s.startedAt, s.window, s.credit = b.now, 1, b.rng.Float64()
 	}
 	s.heard, s.lostAt = b.now, 0
+	for _, a := range s.out {
+		if a.stuck {
+			a.stuck = false
+			b.stuck--
+		}
+	}
 }
 
 // hintedTime is what the line says for the request; 0 while little is known.
@@ -932,13 +941,43 @@
 // several answer times: hung or gone silent, they would stay Connected.
 func (b *Balancer) watchSilence() {
 	for _, s := range b.servers {
-		if len(s.out) == 0 || s.state == Unhealthy {
-			continue
+		silent := func(a *attempt, times float64) bool {
+			return b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*times
 		}
-		a := s.out[0]
-		if b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*8/float64(min(len(s.out), 3)) {
+		soon := 8 / float64(max(min(len(s.out), 3), 1))
+		if len(s.out) > 0 && s.state != Unhealthy && silent(s.out[0], soon) {
 			b.demote(s, true)
 		}
+		for _, a := range s.out {
+			if s.silent && s.state == Unhealthy && silent(a, soon) {
+				b.release(a, silent(a, 8))
+			}
+		}
+	}
+}
+
+// release lets go of an attempt on a server that fell silent under it. It stands in no queue
+// that the agent's limit is to keep short: held by the limit up to deadlines of a minute and
+// more, such attempts took all of it, and nothing was sent to the servers that lived. Where
+// the request may go elsewhere in time the attempt is called off, and else the request ends
+// when it can no longer earn anything, as those do that are held. The limit lets go only when
+// it is sure: crowded servers seem silent for a while too, and need the limit most.
+func (b *Balancer) release(a *attempt, sure bool) {
+	r, c := a.r, &b.set.Classes[a.r.class]
+	if sure && !a.stuck {
+		a.stuck = true
+		b.stuck++
+	}
+	again := c.Effect == Free || c.Effect == Guarded && b.repeatWithin(r) > 0
+	switch {
+	case a.called || r.closed || r.started:
+	case c.LateShare == 0 && b.now >= r.aimAt:
+		a.called = true
+		b.end(r)
+	case again && b.set.Limits.Cancelling && len(r.attempts) < b.set.Limits.MaxAttempts && b.again >= 1 &&
+		b.now+b.expected(r) < r.aimAt:
+		a.called = true
+		b.do(Action{Kind: ActCancel, Request: r.id, Attempt: a.index})
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1129,3 +1129,104 @@
 		t.Errorf("sent %d and refused %d of 10, want some sent and 6 refused", sent, refused)
 	}
 }
+
+// quick is a rig whose agent has learnt that answers take 10 ms.
+func quick(t *testing.T, set Settings, servers int) *rig {
+	t.Helper()
+	r := newRig(t, set, servers)
+	for range 300 {
+		id, s := r.sent(0, uint64(r.b.rng.Int64()))
+		r.now += 10
+		r.outcome(id, 0, s, OK, 10)
+		id, s = r.sent(1, uint64(r.b.rng.Int64()))
+		r.now += 10
+		r.outcome(id, 0, s, OK, 10)
+	}
+	r.b.boost = 1
+	return r
+}
+
+// Attempts on servers that fell silent must not take the agent's whole limit up to their
+// deadlines, where the settings allow no cancelling either: the servers that live idle then.
+func TestStuckAttemptsLeaveTheLimit(t *testing.T) {
+	set := testSettings()
+	set.Limits.Cancelling = false
+	r := quick(t, set, 3)
+	r.sent(1, 5)
+	stuck, s := r.sent(1, 6)
+	waits, actions := r.ask(0, 7)
+	if a := find(actions, ActSend); a != nil {
+		t.Fatalf("not at its limit: %+v", a)
+	}
+	var sent *Action
+	for waited := 0; sent == nil && waited < 200; waited += 10 {
+		if sent = find(r.tick(10), ActSend); sent != nil && waited < 50 {
+			t.Fatalf("sent after %d ms: the servers were hardly late", waited)
+		}
+	}
+	if sent == nil || sent.Request != waits {
+		t.Fatal("nothing was sent to the server that lives")
+	}
+	if r.b.stuck != 2 || r.b.inflight != 3 {
+		t.Fatalf("%d stuck of %d out, want 2 of 3", r.b.stuck, r.b.inflight)
+	}
+	r.outcome(stuck, 0, s, OK, 150)
+	left := 0
+	for _, o := range r.b.servers {
+		for _, a := range o.out {
+			if a.stuck && o.id == s {
+				t.Fatal("stuck on a server that answers")
+			} else if a.stuck {
+				left++
+			}
+		}
+	}
+	if r.b.stuck != left {
+		t.Fatalf("%d counted as stuck, %d are", r.b.stuck, left)
+	}
+}
+
+// What may be repeated is called off on a silent server and goes elsewhere while there is
+// time; what may not is waited for as long as its answer is worth anything, and then answered
+// at once.
+func TestSilentServersAttempts(t *testing.T) {
+	r := quick(t, testSettings(), 6)
+	id, s := r.sent(0, 5)
+	var off *Action
+	for waited := 0; off == nil && waited < 200; waited += 10 {
+		off = find(r.tick(10), ActCancel)
+	}
+	if off == nil || off.Request != id || off.Attempt != 0 {
+		t.Fatalf("called off: %+v", off)
+	}
+	for range 5 {
+		if again := r.tick(10); find(again, ActCancel) != nil || find(again, ActSend) != nil {
+			t.Fatalf("before the first has ended: %+v", again)
+		}
+	}
+	if a := find(r.outcome(id, 0, s, Cancelled, 150), ActSend); a == nil || a.Request != id || a.Server == s {
+		t.Fatalf("sent elsewhere: %+v", a)
+	}
+
+	r = quick(t, testSettings(), 6)
+	id, s = r.sent(1, 5)
+	asked := r.now
+	for {
+		actions := r.tick(10)
+		if find(actions, ActSend) != nil || find(actions, ActRefuse) != nil {
+			t.Fatalf("what may not run twice: %+v", actions)
+		}
+		if fail := find(actions, ActFail); fail != nil {
+			if waited := r.now - asked; fail.Request != id || waited < 300 || waited > 320 {
+				t.Fatalf("given up after %v ms", waited)
+			}
+			break
+		}
+		if find(actions, ActCancel) != nil || r.now-asked > 400 {
+			t.Fatalf("after %v ms: %+v", r.now-asked, actions)
+		}
+	}
+	if r.outcome(id, 0, s, Cancelled, 310); r.b.stuck != 0 || r.b.inflight != 0 || len(r.b.requests) != 0 {
+		t.Fatalf("left behind: %d stuck, %d out, %d requests", r.b.stuck, r.b.inflight, len(r.b.requests))
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -51,6 +51,8 @@
 	alone  bool // no other of this agent was out on its server
 	cost   float64
 	done   bool
+	stuck  bool // out on a server that fell silent under it
+	called bool // called off
 }
 
 // request is one try of a client, kept until it is answered and no attempt is out.
@@ -128,6 +130,7 @@
 	warmEpoch  uint64
 	epoch      uint64 // counts changes of tiers and list
 	inflight   int
+	stuck      int // of these, on servers that fell silent
 	probes     int
 	expect     []float64 // per class: mean answer time
 	meanHint   float64
