--- a/internal/agent/places_test.go
+++ b/internal/agent/places_test.go
@@ -252,6 +252,24 @@
 	}
 }
 
+// However many ids come, the memory of them is bounded, and the last are known.
+func TestIDMemoryIsBounded(t *testing.T) {
+	m, now := newIDMemory(never), time.Now()
+	for i := range 5 * maxIDs {
+		if !m.add(fmt.Sprint(i), now) {
+			t.Fatalf("id %d was taken for known", i)
+		}
+		if n := len(m.now) + len(m.before); n > 2*maxIDs {
+			t.Fatalf("%d ids held", n)
+		}
+	}
+	for i := 4 * maxIDs; i < 5*maxIDs; i++ {
+		if m.add(fmt.Sprint(i), now) {
+			t.Fatalf("id %d of the last was not known", i)
+		}
+	}
+}
+
 // After SIGTERM half requests and silent connections are not waited for.
 func TestLeaveAmongBadClients(t *testing.T) {
 	addr, _ := counted(t, 200, false)
