Refuse 'OPTIONS *', and take an empty last part of a path for no key

The server answered 'OPTIONS *' itself with 200 and kept the connection for 15 s: a bad client was served in place of an error, past the 3 s in which it is owed one. read refuses it now like any path that is no class. And where requests have no key but end their path with '/', the hash of the empty word made one key of them all: they went to the same few servers, or were split as one popular key. Both tests fail without the change.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -248,6 +248,25 @@
 	}
 }
 
+// A path without a last part names nothing: such requests must not all go by one key.
+func TestNoKey(t *testing.T) {
+	a, err := New(parse(t, config(nowhere)), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.stop()
+	for path, keyed := range map[string]bool{"/order": false, "/order/": false, "/order/u1": true, "/order/a/u1": true} {
+		req := call("http://b", "order")
+		req.RequestURI, req.URL.Path = path, path
+		req.Body = http.NoBody
+		req.ContentLength = 0
+		r, bad := a.read(httptest.NewRecorder(), req, time.Now())
+		if bad != nil || (r.key != 0) != keyed {
+			t.Errorf("%s: %+v, %v", path, r, bad)
+		}
+	}
+}
+
 // How long a request may wait is for the settings to say: a class may have minutes.
 func TestDeadlinesOfTheSettings(t *testing.T) {
 	addr, _ := counted(t, 200, false)
--- a/internal/agent/places_test.go
+++ b/internal/agent/places_test.go
@@ -176,6 +176,7 @@
 		"unsendable id":       strings.Replace(head("Content-Length: 0", ""), "bad1", "bad 1", 1) + hidden,
 		"GET with a body":     strings.Replace(strings.Replace(head("Content-Length: 4", ""), "order", "look", 1), "POST", "GET", 1) + "body" + hidden,
 		"a bad one first":     strings.Replace(head("Content-Length: 0", ""), "30000m", "soon", 1) + hidden,
+		"OPTIONS *":           "OPTIONS * HTTP/1.1\r\nHost: b\r\n\r\n" + hidden,
 		"unknown expectation": head("Expect: tea", "Content-Length: 0", "") + hidden,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -92,8 +92,10 @@
 		IdleTimeout:       keepIdle,
 		MaxHeaderBytes:    maxHead,
 		WriteTimeout:      a.longest + 5*time.Second, // a client that never reads
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		ConnState:         a.places.track,
+		// 'OPTIONS *' is no request of the settings' classes: read refuses it.
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ConnState:                    a.places.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -303,7 +305,7 @@
 	}
 	// A client may wait for longer than its class is worth anything, the agent does not.
 	r.deadline = came.Add(min(left, ms(set.GiveUpMs)))
-	if len(parts) > 1 {
+	if len(parts) > 1 && parts[len(parts)-1] != "" {
 		r.key = keyOf(parts[len(parts)-1])
 	}
 	if name := hr.Header.Get("Tenant"); len(a.conf.Names.tenants) > 0 {
