Name the settings that would overflow, or would have an agent send nothing

Times of more than years came out negative as durations: a giveUpMs of 1e300 answered every request at once, a keepaliveMs of 1e18 closed every connection after its first use. limits .connectTimeoutMs, a class's aimStretch and lateShare and the tenants' figures were not checked, and with maxAttempts 0 the agent started and refused everything. Each now ends the start with one line that names the field.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -633,6 +633,14 @@
 		"prices.handshake":    func(s *Settings) { s.Prices.Handshake = math.NaN() },
 		"limits.keepaliveMs":  func(s *Settings) { s.Limits.KeepaliveMs = math.Inf(1) },
 		"membershipMode":      func(s *Settings) { s.Membership = "" },
+		// What overflows as a duration would come out negative.
+		"classes[0].giveUpMs":     func(s *Settings) { s.Classes[0].GiveUpMs = 1e300 },
+		"limits.connectTimeoutMs": func(s *Settings) { s.Limits.ConnectTimeoutMs = 1e18 },
+		"classes[0].lateShare":    func(s *Settings) { s.Classes[0].LateShare = -1 },
+		"classes[1].aimStretch":   func(s *Settings) { s.Classes[1].AimStretch = math.NaN() },
+		"tenants[0].quotaPerS":    func(s *Settings) { s.Tenants = []Tenant{{QuotaPerS: -1}} },
+		"tenants[1].portion":      func(s *Settings) { s.Tenants = []Tenant{{}, {Portion: -0.5}} },
+		"limits.maxAttempts":      func(s *Settings) { s.Limits.MaxAttempts = 0 }, // would send nothing, ever
 	} {
 		s := testSettings()
 		spoil(&s)
