--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -566,6 +566,28 @@
 	}
 }
 
+// After any number of failed calls a small fleet calls again while what it misses does not
+// yet count as told; a large one keeps to what one discovery can serve.
+func TestFailedCallsOfASmallFleet(t *testing.T) {
+	for agents, most := range map[int]float64{1: 4000, 6: 4000, 20: 4000, 300: 10000} {
+		set := testSettings()
+		set.Membership, set.Replicas, set.Index = OnRequest, agents, agents/2
+		set.Contract.AskWithinMs = 10000
+		b, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(0, nil)
+		longest := 0.0
+		for range 100 {
+			longest = max(longest, find(b.Handle(0, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer).Ms)
+		}
+		if longest > most || longest < most*0.9 {
+			t.Errorf("%d agents wait up to %v ms, want %v", agents, longest, most)
+		}
+	}
+}
+
 // What the agent's own discovery has when it is back counts as told at once: no wait before
 // a call may take the drains' grace, however many calls have failed.
 func TestLocalDiscoveryIsCalledOften(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -76,6 +76,9 @@
 	// lostWithin is the span of the turns after a watch that lived has ended: what it misses
 	// counts as told 6 s after it fell silent, of which the silence takes 3 and a call 2.
 	lostWithin = 1000.0
+	// failWithin is the longest wait after failed calls where a fleet is small enough that all
+	// may call in it: what discovery has to tell counts as told after 6 s, a call takes up to 2.
+	failWithin = 4000.0
 	// askMargin is the part of the contract's time within which the first call must come.
 	askMargin = 0.8
 
@@ -1036,7 +1039,8 @@
 		turn, span = b.rng.Float64(), min(firstWait*math.Pow(2, float64(b.follows)), longestWait)
 	case b.follows > 0:
 		turn = 0.5 + b.rng.Float64()/2
-		span = min(max(2*span, 1000)*math.Pow(2, float64(b.follows-1)), max(b.set.Contract.AskWithinMs, span))
+		most := max(min(2*span, b.set.Contract.AskWithinMs), failWithin)
+		span = min(max(2*span, 1000)*math.Pow(2, float64(b.follows-1)), most)
 	}
 	b.do(Action{Kind: ActTimer, Ms: turn * span, Token: followToken})
 }
