--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -65,6 +65,12 @@
 
 // start serves an agent until the test ends; stop is its SIGTERM.
 func start(t *testing.T, conf map[string]any) (a *Agent, base string, stop func(), ended chan error) {
+	t.Helper()
+	return startOn(t, conf, func(ln net.Listener) net.Listener { return ln })
+}
+
+// startOn is start with a wrapped listener.
+func startOn(t *testing.T, conf map[string]any, wrap func(net.Listener) net.Listener) (a *Agent, base string, stop func(), ended chan error) {
 	t.Helper()
 	a, err := New(parse(t, conf), slog.New(looker{slog.DiscardHandler, make(chan func(), 1)}))
 	if err != nil {
@@ -76,7 +82,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended = make(chan error, 1)
-	go func() { ended <- a.Serve(ctx, ln) }()
+	go func() { ended <- a.Serve(ctx, wrap(ln)) }()
 	t.Cleanup(func() {
 		stop()
 		a.server.Close()
--- a/internal/agent/leave_test.go
+++ b/internal/agent/leave_test.go
@@ -44,23 +44,9 @@
 // hooked serves an agent whose clients' bytes pass a hook.
 func hooked(t *testing.T, conf map[string]any) (a *Agent, base string, read *atomic.Pointer[func()]) {
 	t.Helper()
-	a, err := New(parse(t, conf), slog.New(looker{slog.DiscardHandler, make(chan func(), 1)}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	read = &atomic.Pointer[func()]{}
-	ctx, stop := context.WithCancel(context.Background())
-	go a.Serve(ctx, hookListener{ln, read})
-	t.Cleanup(func() {
-		stop()
-		a.server.Close()
-		a.stop()
-	})
-	return a, "http://" + ln.Addr().String(), read
+	a, base, _, _ = startOn(t, conf, func(ln net.Listener) net.Listener { return hookListener{ln, read} })
+	return a, base, read
 }
 
 // An idle connection that is closed just as its next request is read takes nothing of it:
