Let the module's last word come before the guard's, and refuse what has no time left

The module takes its round off a deadline (roundMs of the settings), the guard a constant 2 ms, so where rounds are short both are due at once. 58 of them came with under a millisecond left and failed though they never ran (failed_untried), some were never answered in time at all.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -314,6 +314,48 @@
 	}
 }
 
+// The module's last word comes before the guard's, however short the settings' rounds: only
+// the module tells when to come back.
+func TestLastWordIsTheModules(t *testing.T) {
+	l := quietLoop(t, "127.0.0.1:1")
+	l.pool.connect = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	for left, less := range map[time.Duration]time.Duration{
+		never: guardMargin + wordMargin, 40 * time.Second: guardMargin + wordMargin, 8 * time.Millisecond: 2 * time.Millisecond,
+	} {
+		r := &request{class: 2, tenant: -1, method: http.MethodPost, target: "/order/u1", host: "b",
+			wireID: fmt.Sprint("last", left), deadline: time.Now().Add(left), answers: make(chan answer, 1)}
+		before := time.Until(r.deadline)
+		l.handle(input{kind: inRequest, req: r})
+		sent := false
+		for _, act := range l.actions {
+			if act.Kind == policy.ActSend && act.Request == r.id {
+				sent = true
+				if told := ms(act.Ms); told > before-less*9/10 {
+					t.Errorf("an attempt of a request with %v left may take %v", before, told)
+				}
+			}
+		}
+		if !sent && left > time.Second {
+			t.Errorf("a request with %v left was not sent", left)
+		}
+		l.handle(input{kind: inDropped, req: r})
+	}
+}
+
+// A request with no time left is refused, as it surely never ran, and told when to come back.
+func TestNoTimeLeft(t *testing.T) {
+	addr, came := counted(t, 200, false)
+	_, base, _, _ := start(t, config(nowhere, addr))
+	req := call(base, "order")
+	req.Header.Set("Request-Timeout", "1u")
+	if status, _, head := do(t, req); status != 503 || head.Get("Retry-After") != "0.6" || len(came) > 0 {
+		t.Fatalf("answered %d, Retry-After %q, %d sent on", status, head.Get("Retry-After"), len(came))
+	}
+}
+
 // explodes panics when the handler reads it.
 type explodes struct{}
 
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -269,8 +269,10 @@
 	}
 	r.id = l.nextID
 	l.requests[r.id] = r
+	left := time.Until(r.deadline)
+	left -= min(guardMargin+wordMargin, left/4)
 	l.tell(&policy.Event{Kind: policy.EvRequest, Request: r.id, Class: r.class, Tenant: r.tenant,
-		Key: r.key, LeftMs: float64(time.Until(r.deadline)) / float64(time.Millisecond),
+		Key: r.key, LeftMs: float64(left) / float64(time.Millisecond),
 		HintMs: r.hintMs, HasHint: r.hasHint, Retry: r.retry})
 }
 
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -22,9 +22,10 @@
 	// minSockets is the least that an agent can work with; otherSockets are kept for
 	// discovery, the listener and the runtime.
 	minSockets, otherSockets = 64, 16
-	// guardMargin is how long before the client's time is up the last guard answers:
-	// later than the module's own last word.
-	guardMargin = 2 * time.Millisecond
+	// guardMargin is how long before the client's time is up the last guard answers. The
+	// module is told of that much less time and wordMargin more, so that its own last word,
+	// which tells when to come back, is out by then whatever round the settings give.
+	guardMargin, wordMargin = 2 * time.Millisecond, 3 * time.Millisecond
 	// acceptFor is how long connections are taken after SIGTERM: they go on coming for
 	// up to 0.4 s. settleFor is left to what was accepted last to be read. What comes whole
 	// after refuseAfter is refused: SIGKILL may come before its answer could.
@@ -206,6 +207,11 @@
 		a.answer(w, answer{status: policy.Full, retryAfter: ms(a.conf.Settings.Limits.MaxRetryAfterMs)})
 		return
 	}
+	if time.Until(r.deadline) <= guardMargin { // nobody could serve it: it never ran
+		answered = true
+		a.answer(w, answer{status: policy.Full, retryAfter: ms(a.conf.Settings.Limits.MaxRetryAfterMs)})
+		return
+	}
 	guard := time.NewTimer(time.Until(r.deadline) - guardMargin)
 	defer guard.Stop()
 	a.loop.post(input{kind: inRequest, req: r})
