--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -65,6 +65,12 @@
 
 // start serves an agent until the test ends; stop is its SIGTERM.
 func start(t *testing.T, conf map[string]any) (a *Agent, base string, stop func(), ended chan error) {
+	t.Helper()
+	return startOn(t, conf, func(ln net.Listener) net.Listener { return ln })
+}
+
+// startOn is start with a wrapped listener.
+func startOn(t *testing.T, conf map[string]any, wrap func(net.Listener) net.Listener) (a *Agent, base string, stop func(), ended chan error) {
 	t.Helper()
 	a, err := New(parse(t, conf), slog.New(looker{slog.DiscardHandler, make(chan func(), 1)}))
 	if err != nil {
@@ -76,7 +82,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended = make(chan error, 1)
-	go func() { ended <- a.Serve(ctx, ln) }()
+	go func() { ended <- a.Serve(ctx, wrap(ln)) }()
 	t.Cleanup(func() {
 		stop()
 		a.server.Close()
@@ -248,6 +254,25 @@
 	}
 }
 
+// A path without a last part names nothing: such requests must not all go by one key.
+func TestNoKey(t *testing.T) {
+	a, err := New(parse(t, config(nowhere)), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.stop()
+	for path, keyed := range map[string]bool{"/order": false, "/order/": false, "/order/u1": true, "/order/a/u1": true} {
+		req := call("http://b", "order")
+		req.RequestURI, req.URL.Path = path, path
+		req.Body = http.NoBody
+		req.ContentLength = 0
+		r, bad := a.read(httptest.NewRecorder(), req, time.Now())
+		if bad != nil || (r.key != 0) != keyed {
+			t.Errorf("%s: %+v, %v", path, r, bad)
+		}
+	}
+}
+
 // How long a request may wait is for the settings to say: a class may have minutes.
 func TestDeadlinesOfTheSettings(t *testing.T) {
 	addr, _ := counted(t, 200, false)
@@ -289,6 +314,43 @@
 	}
 }
 
+// The module's last word comes before the guard's, however short the settings' rounds: only
+// the module tells when to come back.
+func TestLastWordIsTheModules(t *testing.T) {
+	for left, less := range map[time.Duration]time.Duration{
+		never: guardMargin + wordMargin, 40 * time.Second: guardMargin + wordMargin, 8 * time.Millisecond: 2 * time.Millisecond,
+	} {
+		l := quietLoop(t, "127.0.0.1:1")
+		r := &request{class: 2, tenant: -1, method: http.MethodPost, target: "/order/u1", host: "b",
+			wireID: "last", deadline: time.Now().Add(left), answers: make(chan answer, 1)}
+		before := time.Until(r.deadline)
+		l.handle(input{kind: inRequest, req: r})
+		sent := false
+		for _, act := range l.actions {
+			if act.Kind == policy.ActSend && act.Request == r.id {
+				sent = true
+				if told := ms(act.Ms); told > before-less*9/10 {
+					t.Errorf("an attempt of a request with %v left may take %v", before, told)
+				}
+			}
+		}
+		if !sent && left > time.Second {
+			t.Errorf("a request with %v left was not sent", left)
+		}
+	}
+}
+
+// A request with no time left is refused, as it surely never ran, and told when to come back.
+func TestNoTimeLeft(t *testing.T) {
+	addr, came := counted(t, 200, false)
+	_, base, _, _ := start(t, config(nowhere, addr))
+	req := call(base, "order")
+	req.Header.Set("Request-Timeout", "1u")
+	if status, _, head := do(t, req); status != 503 || head.Get("Retry-After") != "0.6" || len(came) > 0 {
+		t.Fatalf("answered %d, Retry-After %q, %d sent on", status, head.Get("Retry-After"), len(came))
+	}
+}
+
 // explodes panics when the handler reads it.
 type explodes struct{}
 
--- a/internal/agent/places_test.go
+++ b/internal/agent/places_test.go
@@ -176,6 +176,7 @@
 		"unsendable id":       strings.Replace(head("Content-Length: 0", ""), "bad1", "bad 1", 1) + hidden,
 		"GET with a body":     strings.Replace(strings.Replace(head("Content-Length: 4", ""), "order", "look", 1), "POST", "GET", 1) + "body" + hidden,
 		"a bad one first":     strings.Replace(head("Content-Length: 0", ""), "30000m", "soon", 1) + hidden,
+		"OPTIONS *":           "OPTIONS * HTTP/1.1\r\nHost: b\r\n\r\n" + hidden,
 		"unknown expectation": head("Expect: tea", "Content-Length: 0", "") + hidden,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -252,6 +253,24 @@
 	}
 }
 
+// However many ids come, the memory of them is bounded, and the last are known.
+func TestIDMemoryIsBounded(t *testing.T) {
+	m, now := newIDMemory(never), time.Now()
+	for i := range 5 * maxIDs {
+		if !m.add(fmt.Sprint(i), now) {
+			t.Fatalf("id %d was taken for known", i)
+		}
+		if n := len(m.now) + len(m.before); n > 2*maxIDs {
+			t.Fatalf("%d ids held", n)
+		}
+	}
+	for i := 4 * maxIDs; i < 5*maxIDs; i++ {
+		if m.add(fmt.Sprint(i), now) {
+			t.Fatalf("id %d of the last was not known", i)
+		}
+	}
+}
+
 // After SIGTERM half requests and silent connections are not waited for.
 func TestLeaveAmongBadClients(t *testing.T) {
 	addr, _ := counted(t, 200, false)
