Take a watch that told and ended for a lost one, and hold the 6 s after failed calls

Followed with log lines round discovery: agent n3's watch opened at 9.64 s, after calls that had failed while discovery was down; it told a list with nothing new at 9.82 s, and ended in place of telling at 10.858 s ("unexpected EOF"). n3 called again at 13.96 s, 3.1 s later, and its requests went to a draining server until 14.22 s. What such a watch misses counts as told 2 s after it ended: 12.84 s. Ruled out: the new configuration (n3's came at 14.22 s, after the break), the idle clients (calls found their descriptors), messages in pieces (each list was read within a ms of its last piece).

At fault: watched.lost took a watch under 3 s for a failed call, though it had told; and onDiscovery kept a list with nothing new from the module, whose count of failed calls went on, so the next wait was 2 to 4 s. Both are mended; each further watch that ends as soon as it has told is backed off.

askForList waited up to askWithinMs (10 s) after failures in a larger fleet, and up to 8 s before the first call; a change counts as told 6 s after discovery could be reached. What the failed call took, the wait and the next call's 2 s now stay under that, for any number of agents; callGap only makes small fleets call sooner. A call to a discovery that serves in turn is given up after 2.5 s in place of 3 s, as it has failed what waited for 2 s.

Tests: TestFailedCallsOfASmallFleet let 300 agents wait up to 10 s, now a break; it gives way to TestCallsHoldTheContractInAFleetOfAnySize (4, 300, 2,000 agents, refused and hung calls). TestAgentsTakeTurnsAtDiscovery bounded the calls in a second to what discovery serves; it now asks that no call fails and all are told within 6 s, not 12. TestLostWatch held a watch that told and ended for a failed call, which is the fault. TestLostWatchIsOpenedAnewInTime lets the watches live between their ends.

--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -21,6 +21,10 @@
 	// and what it has to tell counts as told 6 s after it fell silent, the wait before the
 	// next call and that call included.
 	watchSilence = 3 * time.Second
+	// callFirst is the same for the first word of a call to a discovery that serves many in
+	// turn: it has failed what waited for 2 s, and a call that is given up later would leave
+	// too little of the 6 s to the next.
+	callFirst = 2500 * time.Millisecond
 	// localFirst is the same for the first word of a watch on the agent's own machine, which
 	// answers at once: what it has when it is back counts as told, and has the drains' grace.
 	localFirst   = 750 * time.Millisecond
@@ -209,8 +213,12 @@
 	err    error // why it ended
 }
 
-// lost tells whether a watch that had lived has ended, and no call that failed.
-func (w watched) lost(silence time.Duration) bool { return w.alive && w.lasted >= silence }
+// lost tells whether a watch that had lived has ended, and no call that failed. One that had
+// told has lived, however short: held for a failed call it was opened again seconds later,
+// as if discovery were down, when what it should have told already counted.
+func (w watched) lost(silence time.Duration) bool {
+	return w.told || w.alive && w.lasted >= silence
+}
 
 // follow is one watch.
 func (d *discovery) follow(since int64, eager bool) (w watched) {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -109,7 +109,7 @@
 	// On sockets even what is pushed reaches only who watches: the module is told so, and
 	// decides when. Taken at its word, "pushed" meant that no agent ever watched and that
 	// each learned of drains from the fetches its own failures caused.
-	first := watchSilence
+	first := callFirst
 	if set.Membership == policy.Pushed {
 		set.Membership = policy.Watched
 		first = localFirst
@@ -223,6 +223,8 @@
 			l.learn(policy.ListFull, &in.list)
 		case in.list.Seq > l.seq:
 			l.learn(policy.ListDelta, &in.list)
+		default: // nothing new, and yet a sign that discovery is there
+			l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListDelta})
 		}
 	case inWatchEnded:
 		l.watching = false
--- a/internal/agent/watch_test.go
+++ b/internal/agent/watch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -145,25 +146,27 @@
 	}
 }
 
-// Only a watch that had lived is told as lost: its module asks again without a back-off.
+// Only a watch that had lived is told as lost: its module asks again without a back-off. One
+// that told has lived, however soon it ended: what it should have told next counts soon.
 func TestLostWatch(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		alive   bool
+		says    string
 		silence time.Duration
 		lost    bool
 	}{
-		{"lived", true, time.Nanosecond, true},
-		{"ended at once", true, never, false},
-		{"never spoke", false, time.Nanosecond, false},
+		{"lived", change + "\n", time.Nanosecond, true},
+		{"lived without a list", "\n", time.Nanosecond, true},
+		{"told and ended at once", change + "\n", never, true},
+		{"ended at once without a list", "\n", never, false},
+		{"never spoke", "", time.Nanosecond, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d, told, pieces := spoken(t)
+			d, _, pieces := spoken(t)
 			d.first = never
 			go func() {
-				if c.alive {
-					pieces <- change + "\n"
-					await(t, told)
+				if c.says != "" {
+					pieces <- c.says
 				}
 				close(pieces)
 			}()
@@ -174,10 +177,43 @@
 	}
 }
 
+// A list that brings nothing new is still told to the module as a sign that discovery is
+// there: after a discovery that was down its failures went on counting, and the watch that
+// ended next was opened again 3 s later.
+func TestNothingNewEndsTheFailures(t *testing.T) {
+	conf := config(nowhere)
+	conf["settings"].(map[string]any)["membershipMode"] = "on_request"
+	c := parse(t, conf)
+	wait := func(told bool) time.Duration {
+		l, err := newLoop(t.Context(), c, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		failed := input{kind: inWatchEnded, err: errSilent}
+		for range 6 {
+			l.handle(failed)
+		}
+		if told {
+			l.handle(input{kind: inWatched, list: List{Seq: l.seq, Hosts: []Host{}}})
+		}
+		l.handle(failed)
+		for _, a := range l.actions {
+			if a.Kind == policy.ActTimer {
+				return ms(a.Ms)
+			}
+		}
+		t.Fatalf("no call follows: %+v", l.actions)
+		return 0
+	}
+	if before, now := wait(false), wait(true); before < time.Second || now > time.Second {
+		t.Fatalf("a failed call waits for %v, and %v once discovery spoke", before, now)
+	}
+}
+
 // A discovery on the agent's own machine answers at once: a call without a word is given up
 // soon. Where it is one service for all, calls wait in turn.
 func TestFirstWordOfAWatch(t *testing.T) {
-	for mode, want := range map[string]time.Duration{policy.Pushed: localFirst, policy.OnRequest: watchSilence} {
+	for mode, want := range map[string]time.Duration{policy.Pushed: localFirst, policy.OnRequest: callFirst} {
 		conf := config(nowhere)
 		conf["settings"].(map[string]any)["membershipMode"] = mode
 		a, _, _, _ := start(t, conf)
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -435,8 +437,9 @@
 }
 
 // Eighty agents start at once, and discovery serves fifteen calls a second in turn. All of
-// them get the list, as they come one after the other; when they came within a second, and
-// fetched it besides after each failure, most never did.
+// them get the list at their first call and before it counts as told, as they come one after
+// the other; when they came within a second, and fetched it besides after each failure, most
+// never did.
 func TestAgentsTakeTurnsAtDiscovery(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3} {
 		f := newFleet(t, seed, 80, 20, 0.5)
@@ -450,14 +453,17 @@
 		}
 		f.servers[0].down = true // so that there are failures to refetch for
 		f.start()
-		f.play(12)
+		f.play(6)
 		if f.told != 80 {
-			t.Errorf("seed %d: %d of 80 agents were told the list once", seed, f.told)
+			t.Errorf("seed %d: %d of 80 agents were told the list within 6 s", seed, f.told)
 		}
-		for i, s := range f.seconds {
-			if s.calls > 15 {
-				t.Errorf("seed %d, second %d: %d calls", seed, i, s.calls)
-			}
+		f.play(6)
+		calls := 0
+		for _, s := range f.seconds {
+			calls += s.calls
+		}
+		if calls != 80 {
+			t.Errorf("seed %d: 80 agents called %d times", seed, calls)
 		}
 	}
 }
@@ -537,27 +543,54 @@
 	}
 }
 
+// caller is one agent of a fleet where discovery is one service for all.
+func caller(t *testing.T, mode string, index, agents int) *Balancer {
+	t.Helper()
+	set := testSettings()
+	set.Membership, set.Index, set.Replicas = mode, index, agents
+	set.Contract.AskWithinMs = 10000
+	b, err := New(set, uint64(index))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0, nil)
+	return b
+}
+
+// after tells the agent at now how its call went, and gives the wait before the next one.
+func after(t *testing.T, b *Balancer, now float64, how ListKind) float64 {
+	t.Helper()
+	a := find(b.Handle(now, &Event{Kind: EvList, List: how}, nil), ActTimer)
+	if a == nil || a.Token != followToken {
+		t.Fatalf("no call follows: %+v", a)
+	}
+	return a.Ms
+}
+
+// call lets the agent make its next call at now.
+func call(t *testing.T, b *Balancer, now float64) {
+	t.Helper()
+	if find(b.Handle(now, &Event{Kind: EvTimer, Token: followToken}, nil), ActFollow) == nil {
+		t.Fatal("the agent does not call")
+	}
+}
+
 // A watch that has lived and ended is opened anew while what it misses does not yet count
 // as told: 6 s after it fell silent, of which noticing takes 3 and a call up to 2. So in
 // either mode, however large the fleet and however often it happens.
 func TestLostWatchIsOpenedAnewInTime(t *testing.T) {
 	for _, mode := range []string{OnRequest, Watched} {
-		for _, agents := range []int{1, 6, 300} {
-			set := testSettings()
-			set.Membership, set.Replicas, set.Index = mode, agents, agents-1
-			set.Contract.AskWithinMs = 10000
-			b, err := New(set, uint64(agents))
-			if err != nil {
-				t.Fatal(err)
-			}
-			b.Start(0, nil)
+		for _, agents := range []int{1, 6, 300, 2000} {
+			b := caller(t, mode, agents-1, agents)
 			spans := map[bool]int{}
 			for i := range 200 {
-				a := find(b.Handle(float64(i), &Event{Kind: EvList, List: ListLost}, nil), ActTimer)
-				if a == nil || a.Token != followToken || a.Ms > 1000 {
-					t.Fatalf("%s, %d agents: after a lost watch %+v", mode, agents, a)
+				now := float64(i) * 5000
+				call(t, b, now)
+				wait := after(t, b, now+3000, ListLost) // no word but the first
+				if wait > 1000 {
+					t.Fatalf("%s, %d agents: after a lost watch a wait of %v ms", mode, agents, wait)
 				}
-				spans[a.Ms > min(callGap*float64(agents), 1000)/2]++
+				spans[wait > min(callGap*float64(agents), 1000)/2]++
 			}
 			if mode == OnRequest && (spans[true] < 60 || spans[false] < 60) {
 				t.Fatalf("%d agents call in step: %v", agents, spans)
@@ -566,24 +599,78 @@
 	}
 }
 
-// After any number of failed calls a small fleet calls again while what it misses does not
-// yet count as told; a large one keeps to what one discovery can serve.
-func TestFailedCallsOfASmallFleet(t *testing.T) {
-	for agents, most := range map[int]float64{1: 4000, 6: 4000, 20: 4000, 300: 10000} {
-		set := testSettings()
-		set.Membership, set.Replicas, set.Index = OnRequest, agents, agents/2
-		set.Contract.AskWithinMs = 10000
-		b, err := New(set, 1)
-		if err != nil {
-			t.Fatal(err)
-		}
-		b.Start(0, nil)
-		longest := 0.0
-		for range 100 {
-			longest = max(longest, find(b.Handle(0, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer).Ms)
+// A watch that tells and ends at once is opened anew as soon as any, the first time: what it
+// should have told counts soon. Each further time waits longer, as long as that still counts
+// by the contract, or discovery would be called for ever.
+func TestWatchThatEndsAsSoonAsItHasTold(t *testing.T) {
+	for _, agents := range []int{4, 300, 2000} {
+		b := caller(t, OnRequest, agents-1, agents)
+		for range 5 { // discovery is down
+			call(t, b, 0)
+			after(t, b, 2000, ListFailed)
 		}
-		if longest > most || longest < most*0.9 {
-			t.Errorf("%d agents wait up to %v ms, want %v", agents, longest, most)
+		last := 0.0
+		for i := range 6 {
+			now := 10000 * float64(i+1)
+			call(t, b, now)
+			b.Handle(now+200, &Event{Kind: EvList, List: ListDelta}, nil) // nothing new
+			wait := after(t, b, now+1200, ListLost)
+			most, least := 1000*math.Pow(2, max(float64(i-1), 0)), last/2
+			if wait > min(most, toldWithin-callMost-1200) || wait < min(least, 500) {
+				t.Fatalf("%d agents: a wait of %v ms after %d watches that ended at once", agents, wait, i+1)
+			}
+			last = wait
+		}
+	}
+}
+
+// Whatever went wrong before, an agent is told 6 s after discovery could be reached: what a
+// call still took that failed just as discovery came back, the wait after it and the next
+// call, which may wait for 2 s, are together shorter. So in a fleet of any size, after any
+// number of failures, at a discovery that refuses at once or hangs, and for the first call.
+// And the agents don't come back together: of any fifth of the last wait no more than
+// three fifths of them call in it.
+func TestCallsHoldTheContractInAFleetOfAnySize(t *testing.T) {
+	for _, agents := range []int{4, 300, 2000} {
+		for _, took := range []float64{0, 2000, 2500} {
+			var waits []float64
+			for index := range agents {
+				set := testSettings()
+				set.Membership, set.Index, set.Replicas = OnRequest, index, agents
+				b, err := New(set, uint64(index))
+				if err != nil {
+					t.Fatal(err)
+				}
+				now := 0.0
+				if a := find(b.Start(now, nil), ActTimer); a == nil || a.Ms+callMost > 6000-callMargin {
+					t.Fatalf("agent %d of %d calls first by %+v", index, agents, a)
+				}
+				for failure := range 8 {
+					call(t, b, now)
+					now += took
+					wait := after(t, b, now, ListFailed)
+					if took+wait+callMost > 6000-callMargin+1e-6 {
+						t.Fatalf("%d agents, calls take %v ms: failure %d waits for %v ms", agents, took, failure, wait)
+					}
+					if wait < 500 {
+						t.Fatalf("%d agents: a wait of %v ms", agents, wait)
+					}
+					now += wait
+					if failure == 7 {
+						waits = append(waits, wait)
+					}
+				}
+			}
+			if agents < 300 {
+				continue
+			}
+			slices.Sort(waits)
+			fifth := waits[len(waits)-1] / 5
+			for i, w := range waits {
+				if j, _ := slices.BinarySearch(waits, w+fifth); j-i > agents*3/5 {
+					t.Fatalf("%d of %d agents call within %v ms", j-i, agents, fifth)
+				}
+			}
 		}
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -69,18 +69,20 @@
 	// probeCap bounds the validations under way at once.
 	probeCap = 2
 
-	// callGap is how far apart all agents' calls to one discovery are, in ms; it serves some
-	// more. A watch on the agent's own machine costs nothing: firstWait and longestWait, in
-	// ms, only keep its calls from spinning.
-	callGap, firstWait, longestWait = 75.0, 100.0, 500.0
-	// lostWithin is the span of the turns after a watch that lived has ended: what it misses
-	// counts as told 6 s after it fell silent, of which the silence takes 3 and a call 2.
-	lostWithin = 1000.0
-	// failWithin is the longest wait after failed calls where a fleet is small enough that all
-	// may call in it: what discovery has to tell counts as told after 6 s, a call takes up to 2.
-	failWithin = 4000.0
-	// askMargin is the part of the contract's time within which the first call must come.
-	askMargin = 0.8
+	// What discovery has to tell counts as told after toldWithin, in ms, whatever went wrong
+	// before; it serves calls in turn, and one that has waited for callMost fails. callMargin
+	// is left for the way and for what the list sets off.
+	toldWithin, callMost, callMargin = 6000.0, 2000.0, 250.0
+	// callGap is how far apart, in ms, the agents of a small fleet call that start together:
+	// large ones take all the time that the contract leaves, and no contract rests on it.
+	callGap = 75.0
+	// A watch on the agent's own machine costs nothing: firstWait and longestWait, in ms, only
+	// keep its calls from spinning.
+	firstWait, longestWait = 100.0, 500.0
+	// firstBackoff is the span, in ms, of the wait after a first failed call: less would come
+	// back to a queue that is as long as it was. lostBackoff is that after a watch that told
+	// has ended: what it missed counts as told some 2 s later, the call included.
+	firstBackoff, lostBackoff = 1000.0, 1000.0
 
 	tickToken, followToken = 1, 2
 )
@@ -108,7 +110,7 @@
 
 // Start gives the first actions of a new agent and appends them to out.
 func (b *Balancer) Start(now float64, out []Action) []Action {
-	b.now, b.out, b.began, b.recentAt, b.flowAt = now, out, now, now, now
+	b.now, b.out, b.began, b.recentAt, b.flowAt, b.askedAt = now, out, now, now, now, now
 	b.askForList()
 	return b.out
 }
@@ -159,6 +161,7 @@
 func (b *Balancer) onTimer(token uint32) {
 	switch token {
 	case followToken:
+		b.askedAt = b.now
 		b.do(Action{Kind: ActFollow})
 	case tickToken:
 		b.ticking = false
@@ -1020,31 +1023,60 @@
 
 // ---- the list ----
 
-// askForList sets the time of the next call that follows the list. Where discovery is one
-// service for all, agents that start together have turns callGap apart by their numbers:
-// 80 that called within a second found a queue longer than any call waits, and those turned
-// away kept it so; none that was restarted got its list for the rest of the day. One that
-// failed waits for a turn in a span twice as long, up to the contract's time.
+// askForList sets the time of the first call that follows the list. Where discovery is one
+// service for all, agents that start together have turns by their numbers: 80 that called
+// within a second found a queue longer than any call waits, and those turned away kept it
+// so. The last turn leaves its call the time in which it has to be told.
 func (b *Balancer) askForList() {
-	if b.set.Membership == Pushed {
+	switch b.set.Membership {
+	case Watched:
+		b.follow(b.rng.Float64() * firstWait)
+	case OnRequest:
+		turn := (float64(b.set.Index) + b.rng.Float64()) / float64(max(b.set.Replicas, b.set.Index+1))
+		b.follow(turn * b.spread(toldWithin-callMost-callMargin))
+	}
+}
+
+// askAgain sets the time of the next call after failures calls in a row that failed, or
+// watches that told and ended at once: a backoff with jitter that doubles from span. The
+// last call may have failed at the very moment in which discovery came back, so what it
+// took, the wait and the next call are together less than toldWithin.
+func (b *Balancer) askAgain(failures int, span float64) {
+	if b.set.Membership == Watched {
+		b.follow(b.rng.Float64() * min(firstWait*math.Pow(2, float64(failures)), longestWait))
 		return
 	}
-	turn := (float64(b.set.Index) + b.rng.Float64()) / float64(max(b.set.Replicas, b.set.Index+1))
-	span := callGap * float64(b.set.Replicas)
-	if within := b.set.Contract.AskWithinMs; within > 0 {
-		span = min(span, askMargin*within) // who has not asked by then counts as told
+	most := toldWithin - callMost - callMargin - (b.now - b.askedAt)
+	span = min(span*math.Pow(2, float64(failures-1)), max(most, firstBackoff))
+	b.follow(span * (0.5 + b.rng.Float64()/2))
+}
+
+// onLost sets the time of the next call after a watch that had told has ended. One that
+// ends again and again as soon as it has told is no better than calls that fail.
+func (b *Balancer) onLost() {
+	b.failures = 0
+	if b.now-b.askedAt < toldWithin/2 {
+		b.losses++
+	} else {
+		b.losses = 1
 	}
 	switch {
+	case b.losses > 1:
+		b.askAgain(b.losses-1, lostBackoff)
 	case b.set.Membership == Watched:
-		turn, span = b.rng.Float64(), min(firstWait*math.Pow(2, float64(b.follows)), longestWait)
-	case b.follows > 0:
-		turn = 0.5 + b.rng.Float64()/2
-		most := max(min(2*span, b.set.Contract.AskWithinMs), failWithin)
-		span = min(max(2*span, 1000)*math.Pow(2, float64(b.follows-1)), most)
+		b.follow(b.rng.Float64() * firstWait)
+	default:
+		b.follow(b.rng.Float64() * b.spread(lostBackoff))
 	}
-	b.do(Action{Kind: ActTimer, Ms: turn * span, Token: followToken})
 }
 
+// spread is the time over which all agents' calls are spread, at most most.
+func (b *Balancer) spread(most float64) float64 {
+	return min(callGap*float64(b.set.Replicas), most)
+}
+
+func (b *Balancer) follow(in float64) { b.do(Action{Kind: ActTimer, Ms: in, Token: followToken}) }
+
 // refetch asks for the whole list, seldom: every call loads discovery. Who follows the list
 // has it as new as can be, or waits for its turn to ask.
 func (b *Balancer) refetch() {
@@ -1057,20 +1089,14 @@
 func (b *Balancer) onList(ev *Event) {
 	switch ev.List {
 	case ListFailed:
-		b.follows++
-		b.askForList()
+		b.failures++
+		b.askAgain(b.failures, firstBackoff)
 		return
 	case ListLost:
-		b.follows = 0
-		if b.set.Membership == OnRequest {
-			span := min(lostWithin, callGap*float64(b.set.Replicas))
-			b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * span, Token: followToken})
-			return
-		}
-		b.askForList()
+		b.onLost()
 		return
 	}
-	b.follows = 0
+	b.failures = 0
 	b.epoch++
 	named := map[Addr]bool{}
 	for i := range ev.Entries {
--- a/policy/state.go
+++ b/policy/state.go
@@ -149,7 +149,9 @@
 	credit     float64   // mean worth of a request
 	aimMin     float64
 	lookedAt   float64 // last fetch of the list
-	follows    int     // failed calls in a row
+	askedAt    float64 // last call that follows the list
+	failures   int     // failed calls in a row
+	losses     int     // watches in a row that ended as soon as they had told
 	flow       float64 // work sent to a warm server of weight one, fading over the cold time
 	flowAt     float64
 	boost      float64 // how many times its share of attempts the agent may have out
--- a/policy/types.go
+++ b/policy/types.go
@@ -176,7 +176,7 @@
 	ListFull
 	ListCached
 	ListFailed
-	ListLost // what followed the list for a while has ended
+	ListLost // a watch that had told something has ended
 )
 
 // Status is how an attempt or a probe ended.
