Move the model of many agents from policy's tests to internal/fleet/model

Cause: the scale bench and the tests need one model of many agents and servers in virtual time; it sat inside policy's test file and read the module's fields. Change: package internal/fleet/model has it, on policy's public interface alone. The four tests that play it move along with their seeds and assertions; those of the module alone stay in policy.

--- /dev/null
+++ b/internal/fleet/model/model_test.go
@@ -0,0 +1,155 @@
+package model
+
+import (
+	"context"
+	"testing"
+
+	"molepaddle/policy"
+)
+
+// small is a fleet of two zones in which agents meet a server seldom.
+func small(seed uint64, agents, servers int, load float64) Config {
+	return Config{Agents: agents, Servers: servers, Zones: 2, Load: load, WorkMs: 30, HopMs: 1.5, Seed: seed,
+		Settings: Settings(), KeepArrivals: true}
+}
+
+func newModel(t *testing.T, cfg Config) *Model {
+	t.Helper()
+	m, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func play(t *testing.T, m *Model, seconds float64) {
+	t.Helper()
+	if err := m.play(context.Background(), seconds); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// sent counts the attempts that came to a server since a time.
+func (s *server) sent(since float64) int {
+	n := 0
+	for _, at := range s.got {
+		if at >= since {
+			n++
+		}
+	}
+	return n
+}
+
+// Half the servers vanish, and the rest can't carry what is asked. However many agents
+// there are, they go on serving what can be served: a throttle in each that shut on
+// failures and opened in step left the servers idle one second and drowned the next.
+func TestManyAgentsKeepFewServersBusy(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		m := newModel(t, small(seed, 60, 20, 0.75))
+		m.boot()
+		play(t, m, 4)
+		var gone []policy.Entry
+		for i, s := range m.servers {
+			if i%2 == 0 {
+				s.down = true
+				gone = append(gone, m.list()[i])
+			}
+		}
+		play(t, m, 1)
+		m.tell(policy.ListDelta, gone...)
+		play(t, m, 10)
+		// Ten servers at 30 ms a request, from the third second after on.
+		can, won := 10*1000/m.cfg.WorkMs, 0
+		for i, s := range m.seconds[8:] {
+			won += s.Won
+			if s.Held > 10*8 {
+				t.Errorf("seed %d, second %d: %d out at once on 10 servers", seed, i+8, s.Held)
+			}
+		}
+		if mean := float64(won) / float64(len(m.seconds[8:])); mean < 0.25*can {
+			t.Errorf("seed %d: %.0f a second served in time of %.0f that the servers can do", seed, mean, can)
+		}
+	}
+}
+
+// A quarter of the servers is slow. Each agent meets each server once in seconds, and
+// still the slow ones must get what they can do, not an even share.
+func TestSlowServersGetLessThoughSeldomMet(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		m := newModel(t, small(seed, 60, 20, 0.5))
+		for _, s := range m.servers[:5] {
+			s.speed = 0.3
+		}
+		m.boot()
+		play(t, m, 5)
+		since := m.now
+		play(t, m, 10)
+		slow, others := 0, 0
+		for i, s := range m.servers {
+			if i < 5 {
+				slow += s.sent(since)
+			} else {
+				others += s.sent(since)
+			}
+		}
+		if part := float64(slow) / 5 / (float64(others) / 15); part > 0.5 {
+			t.Errorf("seed %d: a slow server gets %.2f of what another gets", seed, part)
+		}
+	}
+}
+
+// Eighty agents start at once, and discovery serves fifteen calls a second in turn. All of
+// them get the list, as they come one after the other; when they came within a second, and
+// fetched it besides after each failure, most never did.
+func TestAgentsTakeTurnsAtDiscovery(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		cfg := small(seed, 80, 20, 0.5)
+		cfg.CallMs = 1000.0 / 15
+		cfg.Settings.Membership = policy.OnRequest
+		m := newModel(t, cfg)
+		m.servers[0].down = true // so that there are failures to refetch for
+		m.boot()
+		play(t, m, 12)
+		if m.told != 80 {
+			t.Errorf("seed %d: %d of 80 agents were told the list once", seed, m.told)
+		}
+		for i, s := range m.seconds {
+			if s.Calls > 15 {
+				t.Errorf("seed %d, second %d: %d calls", seed, i, s.Calls)
+			}
+		}
+	}
+}
+
+// Six of twenty servers are replaced at once while the rest is busy. All agents together
+// send each new one far less than would push it over in any second, and yet a fair part of
+// what it can do: what is left out would crowd the others.
+func TestColdServersAreUsedAndNotPushedOver(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		m := newModel(t, small(seed, 60, 20, 0.7))
+		m.boot()
+		play(t, m, 6)
+		born := m.now
+		for _, s := range m.servers[:6] {
+			s.bornAt = born
+		}
+		m.tell(policy.ListDelta, m.list()[:6]...)
+		play(t, m, 6)
+		c := &m.cfg.Settings.Contract
+		used := 0
+		for i, s := range m.servers[:6] {
+			used += s.sent(born)
+			for at := born; at < m.now-c.TipAfterMs; at += 50 {
+				can := s.capacity(at) * c.TipAfterMs / m.cfg.WorkMs
+				if got := s.sent(at) - s.sent(at+c.TipAfterMs); float64(got) > 0.8*c.FallMultiple*can {
+					t.Fatalf("seed %d: server %d got %d in the second after %.0f ms, when it could do %.0f",
+						seed, i, got, at-born, can)
+				}
+			}
+		}
+		// 0.6 of its capacity on the mean of its first six seconds.
+		if part := float64(used) / 6 / (0.6 * 6000 / m.cfg.WorkMs); part < 0.28 {
+			t.Errorf("seed %d: cold servers were sent %.2f of what they could do", seed, part)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/model/queue.go
@@ -0,0 +1,103 @@
+package model
+
+// event is something that happens at a time; of one time, in the order of their making.
+type event struct {
+	at    float64
+	order uint64
+	what  happening
+}
+
+// happening is what an event does. Its types are pointers, so that an event costs no
+// allocation of its own.
+type happening interface{ happen(m *Model) }
+
+// call is a happening of the days and tests, of which there are few.
+type call func()
+
+func (c call) happen(*Model) { c() }
+
+func (e *event) before(o *event) bool {
+	return e.at < o.at || e.at == o.at && e.order < o.order
+}
+
+// queue holds what is to come: a heap, and a lane in the order of time for what comes a
+// fixed time after its cause, as the many deadlines do.
+type queue struct {
+	heap  []event
+	lane  []event
+	first int // of the lane
+	order uint64
+}
+
+func (q *queue) empty() bool { return len(q.heap) == 0 && q.first == len(q.lane) }
+
+// push adds an event.
+func (q *queue) push(at float64, what happening) {
+	q.order++
+	e := event{at, q.order, what}
+	i := len(q.heap)
+	q.heap = append(q.heap, e)
+	for i > 0 {
+		up := (i - 1) / 4
+		if !e.before(&q.heap[up]) {
+			break
+		}
+		q.heap[i] = q.heap[up]
+		i = up
+	}
+	q.heap[i] = e
+}
+
+// pushLate adds an event that is likely to be later than those added so before it.
+func (q *queue) pushLate(at float64, what happening) {
+	if n := len(q.lane); n > q.first && q.lane[n-1].at > at {
+		q.push(at, what)
+		return
+	}
+	q.order++
+	q.lane = append(q.lane, event{at, q.order, what})
+}
+
+// next is the first event, which stays; the queue must not be empty.
+func (q *queue) next() *event {
+	if q.first == len(q.lane) || len(q.heap) > 0 && q.heap[0].before(&q.lane[q.first]) {
+		return &q.heap[0]
+	}
+	return &q.lane[q.first]
+}
+
+// pop takes the first event out.
+func (q *queue) pop() event {
+	e := *q.next()
+	if q.first < len(q.lane) && q.lane[q.first].order == e.order {
+		q.lane[q.first].what = nil
+		if q.first++; 2*q.first > len(q.lane) {
+			q.lane = q.lane[:copy(q.lane, q.lane[q.first:])]
+			q.first = 0
+		}
+		return e
+	}
+	n := len(q.heap) - 1
+	last := q.heap[n]
+	q.heap[n].what = nil
+	q.heap = q.heap[:n]
+	for i := 0; n > 0; {
+		least := 4*i + 1
+		if least >= n {
+			q.heap[i] = last
+			break
+		}
+		for j := least + 1; j < min(4*i+5, n); j++ {
+			if q.heap[j].before(&q.heap[least]) {
+				least = j
+			}
+		}
+		if !q.heap[least].before(&last) {
+			q.heap[i] = last
+			break
+		}
+		q.heap[i] = q.heap[least]
+		i = least
+	}
+	return e
+}
