Bound the foreseen traffic by what the listed servers can do in the limit on attempts

What all agents are foreseen to ask is now at most what the listed servers answer with two attempts out at each and nothing crowded (feasible). An agent may so always have out what its own calls take while nothing is crowded (Little's law), which sums up to x attempts a server where x times what the servers can do is asked. Where settings tell of one service alone their quota is under that bound, and nothing changes.

Requests are counted over the time for which a connection is kept; where none is given, now over the contract's time for pushing a server over in place of 1 ms, in which a rate is noise.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -198,7 +198,7 @@
 	b.requests[r.id] = r
 	b.seen++
 	if !ev.Retry { // retries swell with trouble, and are foreseen nowhere
-		b.recent = b.recent*math.Exp((b.recentAt-b.now)/max(b.set.Limits.KeepaliveMs, 1)) + 1
+		b.recent = b.recent*math.Exp((b.recentAt-b.now)/b.rateSpan()) + 1
 		b.recentAt = b.now
 	}
 	b.count(r.tenant)
@@ -283,19 +283,40 @@
 func (b *Balancer) share() float64 {
 	all := shareOut * float64(b.ready)
 	even := all / float64(max(b.set.Replicas, 1))
-	quota := 0.0
+	rate, quota := b.rate(), 0.0
 	for _, t := range b.set.Tenants {
 		quota += t.QuotaPerS / 1000
 	}
 	if quota == 0 {
-		return even
+		return max(even, all*rate/b.feasible(math.Inf(1)))
 	}
-	return max(all*b.rate()/quota, min(even, 1))
+	return max(all*rate/b.feasible(quota), min(even, 1))
+}
+
+// feasible bounds what the settings foresee of all agents, in requests a ms, by what the
+// listed servers answer with shareOut attempts out at each and nothing crowded. In a fleet of
+// many services the settings tell of all of them, the list names one service's servers: a
+// part of the whole quota left an agent of a healthy service a hundredth of an attempt, and
+// it refused two calls in three. An agent may so always have out what its own calls take
+// while nothing is crowded (Little's law): of a service asked for x times what it can do, x
+// attempts a server, all agents together, and shareOut where the settings tell of it alone.
+func (b *Balancer) feasible(rate float64) float64 {
+	calm := b.calmLat * b.meanAim
+	if calm <= 0 || b.ready == 0 {
+		return rate // nothing was measured yet, or nobody can answer
+	}
+	return min(rate, shareOut*float64(b.ready)/calm)
+}
+
+// rateSpan is the time over which requests are counted, in ms: that for which a connection
+// is kept, and where none is, that in which a server may be pushed over.
+func (b *Balancer) rateSpan() float64 {
+	return max(b.set.Limits.KeepaliveMs, b.set.Contract.TipAfterMs, 1)
 }
 
 // rate is how many requests a ms came of late.
 func (b *Balancer) rate() float64 {
-	span := max(b.set.Limits.KeepaliveMs, 1)
+	span := b.rateSpan()
 	old := math.Exp((b.recentAt - b.now) / span)
 	return b.recent * old / span / max(1-math.Exp((b.began-b.now)/span), 0.01)
 }
--- /dev/null
+++ b/policy/service_test.go
@@ -0,0 +1,111 @@
+package policy
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// due is something that happens to an agent in virtual time.
+type due struct {
+	at float64
+	ev Event
+}
+
+type dues []due
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+// One agent of a healthy service in a fleet of 2,000: its settings tell the replicas and the
+// quota of the whole fleet, its list names the servers of the service. Each call is answered
+// after 5 ms, so it must be sent, and hardly ever held back: with 12 servers 72 in 100 were
+// refused, as two attempts a listed server were divided among all the fleet's agents.
+func TestLimitOfAServiceInALargeFleet(t *testing.T) {
+	for _, quota := range []float64{220000, 0} {
+		for _, servers := range []int{12, 60, 200} {
+			for _, seed := range []uint64{1, 2} {
+				set := fleetSettings(2000)
+				if quota > 0 {
+					set.Tenants = []Tenant{{Name: "a", Portion: 1, QuotaPerS: quota}}
+				}
+				asked, refused, held := playService(t, set, servers, seed)
+				if refused > 0 {
+					t.Errorf("quota %v, %d servers: %d of %d refused", quota, servers, refused, asked)
+				}
+				slices.Sort(held)
+				if late := held[len(held)*99/100]; late > 0 {
+					t.Errorf("quota %v, %d servers: one in a hundred waits for %v ms and longer", quota, servers, late)
+				}
+			}
+		}
+	}
+}
+
+// playService plays one agent that asks 110 times a second for 40 s, and counts what is
+// asked and refused, after 10 s of warming up; held are the waits in the agent before the
+// first attempt, in ms.
+func playService(t *testing.T, set Settings, servers int, seed uint64) (asked, refused int, held []float64) {
+	t.Helper()
+	const answer, perMs, warmUp, length = 5.0, 0.110, 10000.0, 40000.0
+	b, err := New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var todo dues
+	cameAt := map[RequestID]float64{}
+	tries := map[RequestID]int{}
+	begin := fleetStart
+	do := func(now float64, actions []Action) {
+		for _, a := range actions {
+			counts := now-begin >= warmUp
+			switch a.Kind {
+			case ActSend:
+				if counts && tries[a.Request] == 0 {
+					held = append(held, now-cameAt[a.Request])
+				}
+				heap.Push(&todo, due{now + answer, Event{Kind: EvOutcome, Request: a.Request, Attempt: tries[a.Request],
+					Server: a.Server, Status: OK, LatencyMs: answer, Final: true}})
+				tries[a.Request]++
+			case ActRefuse, ActFail:
+				if counts {
+					refused++
+				}
+			case ActTimer:
+				heap.Push(&todo, due{now + a.Ms, Event{Kind: EvTimer, Token: a.Token}})
+			}
+		}
+	}
+	var all []Entry
+	for i := range servers {
+		all = append(all, Entry{Server: addr(i), Zone: i % 3, Cell: i % 3, Health: Ready, Weight: 1})
+	}
+	do(begin, b.Start(begin, nil))
+	do(begin, b.Handle(begin, &Event{Kind: EvList, List: ListCached, Entries: all}, nil))
+	id := RequestID(0)
+	next := begin
+	for next < begin+length {
+		next += rng.ExpFloat64() / perMs
+		for len(todo) > 0 && todo[0].at <= next {
+			e := heap.Pop(&todo).(due)
+			do(e.at, b.Handle(e.at, &e.ev, nil))
+		}
+		id++
+		cameAt[id] = next
+		if next-begin >= warmUp {
+			asked++
+		}
+		do(next, b.Handle(next, &Event{Kind: EvRequest, Request: id, Key: 1 + rng.Uint64N(5000), LeftMs: 1000}, nil))
+	}
+	return asked, refused, held
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -148,6 +148,7 @@
 	worst      int       // the class served worst
 	credit     float64   // mean worth of a request
 	aimMin     float64
+	meanAim    float64 // of the requests of late, by their classes
 	lookedAt   float64 // last fetch of the list
 	askedAt    float64 // last call that follows the list
 	failures   int     // failed calls in a row
@@ -176,6 +177,7 @@
 // tally keeps the classes' shares of requests and of those served in time.
 func (b *Balancer) tally(class int) {
 	b.credit = 0
+	aims, all := 0.0, 0.0
 	for i, c := range b.set.Classes {
 		b.asked[i] *= fade
 		b.won[i] *= fade
@@ -183,10 +185,13 @@
 			b.asked[i] += 1 - fade
 		}
 		b.credit += b.asked[i] * c.Credit
+		aims += b.asked[i] * c.AimMs
+		all += b.asked[i]
 		if b.won[i]*b.asked[b.worst] < b.won[b.worst]*b.asked[i] {
 			b.worst = i
 		}
 	}
+	b.meanAim = aims / all
 }
 
 // count keeps the tenants' shares of this agent's requests.
