Let a request hold its class in place of the class's number

Settings that change while the agent runs need it: what is open goes on under the terms it was taken with, and a number means another class then. No decision changes: all tests pass, of which one names the class in place of its number.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -95,16 +95,13 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
-		home: ownZone, again: againMost, boost: 1, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
+		home: ownZone, again: againMost, boost: 1, lookedAt: math.Inf(-1),
 		recentKeys: keyCounter{count: map[uint64]int{}}}
 	for i := range b.kinds {
 		b.kinds[i].weight = 1
 	}
-	for _, c := range set.Classes {
-		b.expect = append(b.expect, c.AimMs*crowdShare/2)
-		b.aimMin = min(b.aimMin, c.AimMs)
-		b.asked, b.won = append(b.asked, 1), append(b.won, 1)
-	}
+	b.classes, b.aimMin = classesOf(&set)
+	b.worst = b.classes[0]
 	return b, nil
 }
 
@@ -176,12 +173,12 @@
 	if b.requests[ev.Request] != nil {
 		return
 	}
-	if ev.Class < 0 || ev.Class >= len(b.set.Classes) {
-		b.end(&request{id: ev.Request}) // still owed an answer; nothing of it ran
+	if ev.Class < 0 || ev.Class >= len(b.classes) {
+		b.end(&request{id: ev.Request, class: &class{}}) // still owed an answer; nothing of it ran
 		return
 	}
-	c := &b.set.Classes[ev.Class]
-	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key,
+	c := b.classes[ev.Class]
+	r := &request{id: ev.Request, class: c, tenant: ev.Tenant, key: ev.Key,
 		arrived: b.now, first: b.now}
 	if r.hint = finite(ev.HintMs); !ev.HasHint {
 		r.hint = 0
@@ -215,11 +212,11 @@
 // value is the worth that a unit of server time spent on the request earns, by
 // the objective: a part of the whole, and all of the worst class if it is of it.
 func (b *Balancer) value(r *request) float64 {
-	c := &b.set.Classes[r.class]
+	c := r.class
 	o := &b.set.Objective
 	v := c.Credit * (o.Whole + o.WorstWindow)
 	if r.class == b.worst {
-		v += o.WorstClass * b.credit / b.asked[r.class]
+		v += o.WorstClass * b.credit / r.class.asked
 	}
 	if b.now+b.expected(r) > r.aimAt {
 		v *= c.LateShare + b.set.Prices.LateFail
@@ -228,7 +225,7 @@
 		v *= b.set.OverShareWorth
 	}
 	if b.set.WorthBy != "work" {
-		v /= b.expect[r.class]
+		v /= r.class.expect
 	}
 	return v
 }
@@ -326,7 +323,7 @@
 // and broken connections tell nothing of queues.
 func (b *Balancer) adapt(a *attempt, st Status, rtt float64) {
 	room := max(b.share()*b.boost, 1)
-	over := min(max(rtt/b.set.Classes[a.r.class].AimMs-crowdShare, 0), 1)
+	over := min(max(rtt/a.r.class.AimMs-crowdShare, 0), 1)
 	if st == Full {
 		over = 1
 	}
@@ -349,7 +346,7 @@
 	for i := 0; i < len(b.held); {
 		r := b.held[i]
 		last := r.aimAt
-		if b.set.Classes[r.class].LateShare > 0 {
+		if r.class.LateShare > 0 {
 			last = r.deadline
 		}
 		if b.now+b.expected(r) > last || b.now >= r.deadline {
@@ -362,7 +359,7 @@
 
 // expected is how long an answer to the request takes, on the mean.
 func (b *Balancer) expected(r *request) float64 {
-	e := b.expect[r.class]
+	e := r.class.expect
 	if t := b.hintedTime(r); t > 0 {
 		e = max(t, e/4)
 	}
@@ -378,7 +375,7 @@
 		return 2
 	case UnhealthyPending:
 		// What must not run twice does not check a server while others are healthy.
-		once := b.set.Classes[r.class].Effect == SingleShot
+		once := r.class.Effect == SingleShot
 		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
 			return 1
 		}
@@ -574,7 +571,7 @@
 	if r.risky == 0 {
 		return true
 	}
-	c := &b.set.Classes[r.class]
+	c := r.class
 	switch c.Effect {
 	case Free:
 		return true
@@ -590,7 +587,7 @@
 
 // repeatWithin is for how long a keyed request that may have run may still be sent again.
 func (b *Balancer) repeatWithin(r *request) float64 {
-	return r.ranAt + b.set.Classes[r.class].KeyTTLMs - 2*b.set.RoundMs - b.now
+	return r.ranAt + r.class.KeyTTLMs - 2*b.set.RoundMs - b.now
 }
 
 func (b *Balancer) send(r *request, s *server) bool {
@@ -603,7 +600,7 @@
 	within := 0.0
 	if r.risky == 0 {
 		r.ranAt, r.ranOn = b.now, s
-	} else if b.set.Classes[r.class].Effect == Guarded {
+	} else if r.class.Effect == Guarded {
 		within = b.repeatWithin(r)
 	}
 	r.risky++
@@ -647,7 +644,7 @@
 		return
 	}
 	b.remember(r)
-	c := &b.set.Classes[r.class]
+	c := r.class
 	harmless := r.risky == 0 || c.Effect == Free || c.Effect == Guarded && c.Group == GroupAll
 	b.close(r)
 	if harmless {
@@ -722,7 +719,7 @@
 // the load: with a request or two out at each of a thousand agents no window holds back
 // what all send on together (i86bcad).
 func (b *Balancer) further(r *request, why Status) {
-	c := &b.set.Classes[r.class]
+	c := r.class
 	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
 	price := 1.0
 	if why == ConnectFailed {
@@ -783,10 +780,10 @@
 	b.learnHint(r, rtt)
 	b.heardFrom(s)
 	s.rtt = mean(s.rtt, rtt, smooth)
-	c := &b.set.Classes[r.class]
-	b.expect[r.class] = mean(b.expect[r.class], min(rtt, 2*c.AimMs), 4*slowSmooth)
+	c := r.class
+	r.class.expect = mean(r.class.expect, min(rtt, 2*c.AimMs), 4*slowSmooth)
 	if b.now <= r.aimAt {
-		b.won[r.class] += 1 - fade
+		r.class.won += 1 - fade
 	}
 	x := b.partOfAim(r, rtt)
 	b.answers++
@@ -892,7 +889,7 @@
 // partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
 // request counts as one of mean work; a small one's time is mostly the network's.
 func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
-	x := rtt / b.set.Classes[r.class].AimMs
+	x := rtt / r.class.AimMs
 	if r.hint > 0 {
 		x *= min(b.meanHint/r.hint, 1)
 	}
@@ -990,7 +987,7 @@
 // when it can no longer earn anything, as those do that are held. The limit lets go only when
 // it is sure: crowded servers seem silent for a while too, and need the limit most.
 func (b *Balancer) release(a *attempt, sure bool) {
-	r, c := a.r, &b.set.Classes[a.r.class]
+	r, c := a.r, a.r.class
 	if sure && !a.stuck {
 		a.stuck = true
 		b.stuck++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -719,14 +719,15 @@
 	set := testSettings()
 	set.Objective = Objective{Whole: 0.5, WorstClass: 0.5}
 	r := newRig(t, set, 2)
-	once, free := &request{class: 1, aimAt: r.now + 500}, &request{class: 0, aimAt: r.now + 500}
+	classes := r.b.classes
+	once, free := &request{class: classes[1], aimAt: r.now + 500}, &request{class: classes[0], aimAt: r.now + 500}
 	for range 500 { // of class 1 all are served, of class 0 none
-		r.b.tally(0)
-		r.b.tally(1)
-		r.b.won[1] += 1 - fade
+		r.b.tally(classes[0])
+		r.b.tally(classes[1])
+		classes[1].won += 1 - fade
 	}
 	with := r.b.value(free) / r.b.value(once)
-	r.b.worst = 1
+	r.b.worst = classes[1]
 	if without := r.b.value(free) / r.b.value(once); with <= without {
 		t.Errorf("the starved class weighs %.2f, when served well %.2f", with, without)
 	}
@@ -1037,7 +1038,7 @@
 			t.Errorf("request %d has %d final answers", id, final[id])
 		}
 	}
-	if x := r.b.fleetLat + r.b.meanHint + r.b.hintMean + r.b.calmLat + r.b.expect[0]; math.IsNaN(x) || math.IsInf(x, 0) {
+	if x := r.b.fleetLat + r.b.meanHint + r.b.hintMean + r.b.calmLat + r.b.classes[0].expect; math.IsNaN(x) || math.IsInf(x, 0) {
 		t.Errorf("odd values poisoned the means: %v", x)
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -55,10 +56,28 @@
 	called bool // called off
 }
 
+// class is a class of requests and what was learnt of it.
+type class struct {
+	Class
+	expect float64 // mean answer time
+	asked  float64 // share of the requests of late
+	won    float64 // and of those served in time
+}
+
+// classesOf gives the settings' classes, of which nothing is known yet, and their least aim.
+func classesOf(set *Settings) (all []*class, aimMin float64) {
+	aimMin = math.Inf(1)
+	for _, c := range set.Classes {
+		all = append(all, &class{Class: c, expect: c.AimMs * crowdShare / 2, asked: 1, won: 1})
+		aimMin = min(aimMin, c.AimMs)
+	}
+	return all, aimMin
+}
+
 // request is one try of a client, kept until it is answered and no attempt is out.
 type request struct {
 	id         RequestID
-	class      int
+	class      *class
 	tenant     int
 	key        uint64
 	hash       uint64 // what orders the servers for it
@@ -106,7 +125,7 @@
 
 // past is what is remembered of an unserved request, to know its retry.
 type past struct {
-	class int
+	class *class
 	key   uint64
 	first float64
 }
@@ -132,7 +151,7 @@
 	inflight   int
 	stuck      int // of these, on servers that fell silent
 	probes     int
-	expect     []float64 // per class: mean answer time
+	classes    []*class
 	meanHint   float64
 	hints      float64 // answers to hinted requests, and their means and spread
 	hintMean   float64
@@ -143,9 +162,7 @@
 	fleetLat   float64   // mean answer time as a part of the aim, all servers
 	calmLat    float64   // the same when nothing is crowded
 	usage      []float64 // tenants' shares of requests
-	asked      []float64 // classes' shares of requests
-	won        []float64 // and of those served in time
-	worst      int       // the class served worst
+	worst      *class    // the class served worst
 	credit     float64   // mean worth of a request
 	aimMin     float64
 	meanAim    float64 // of the requests of late, by their classes
@@ -175,20 +192,20 @@
 }
 
 // tally keeps the classes' shares of requests and of those served in time.
-func (b *Balancer) tally(class int) {
+func (b *Balancer) tally(of *class) {
 	b.credit = 0
 	aims, all := 0.0, 0.0
-	for i, c := range b.set.Classes {
-		b.asked[i] *= fade
-		b.won[i] *= fade
-		if i == class {
-			b.asked[i] += 1 - fade
+	for _, c := range b.classes {
+		c.asked *= fade
+		c.won *= fade
+		if c == of {
+			c.asked += 1 - fade
 		}
-		b.credit += b.asked[i] * c.Credit
-		aims += b.asked[i] * c.AimMs
-		all += b.asked[i]
-		if b.won[i]*b.asked[b.worst] < b.won[b.worst]*b.asked[i] {
-			b.worst = i
+		b.credit += c.asked * c.Credit
+		aims += c.asked * c.AimMs
+		all += c.asked
+		if c.won*b.worst.asked < b.worst.won*c.asked {
+			b.worst = c
 		}
 	}
 	b.meanAim = aims / all
@@ -242,7 +259,7 @@
 		return
 	}
 	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool {
-		return b.now-p.first > b.set.Classes[p.class].GiveUpMs
+		return b.now-p.first > p.class.GiveUpMs
 	})
 	if len(b.pasts) < maxHeld {
 		b.pasts = append(b.pasts, past{r.class, r.key, r.first})
