Put other settings in force in the module between two events

Reconfigure takes all or nothing; open requests keep class and attempts; states, ejections, slow start, limit and retry budget stay. Not yet called by the agent.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -179,7 +179,7 @@
 	}
 	c := b.classes[ev.Class]
 	r := &request{id: ev.Request, class: c, tenant: ev.Tenant, key: ev.Key,
-		arrived: b.now, first: b.now}
+		arrived: b.now, first: b.now, maxAttempts: b.set.Limits.MaxAttempts}
 	if r.hint = finite(ev.HintMs); !ev.HasHint {
 		r.hint = 0
 	} else if r.hint > 0 {
@@ -560,7 +560,7 @@
 // hasRoom, whose credit every attempt is charged in send.
 func (b *Balancer) maySend(r *request, s *server) bool {
 	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
-		len(r.attempts) >= b.set.Limits.MaxAttempts {
+		len(r.attempts) >= r.maxAttempts {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -725,7 +725,7 @@
 	if why == ConnectFailed {
 		price = 0 // no server was asked for anything
 	}
-	spent := b.again < price || len(r.attempts) >= b.set.Limits.MaxAttempts
+	spent := b.again < price || len(r.attempts) >= r.maxAttempts
 	if !able || spent || why == Moot || b.now >= r.deadline {
 		b.end(r)
 		return
@@ -998,7 +998,7 @@
 	case c.LateShare == 0 && b.now >= r.aimAt:
 		a.called = true
 		b.end(r)
-	case again && b.set.Limits.Cancelling && len(r.attempts) < b.set.Limits.MaxAttempts && b.again >= 1 &&
+	case again && b.set.Limits.Cancelling && len(r.attempts) < r.maxAttempts && b.again >= 1 &&
 		b.now+b.expected(r) < r.aimAt:
 		a.called = true
 		b.do(Action{Kind: ActCancel, Request: r.id, Attempt: a.index})
--- /dev/null
+++ b/policy/reconfigure_test.go
@@ -0,0 +1,101 @@
+package policy
+
+import (
+	"strings"
+	"testing"
+)
+
+// Other settings take all or nothing: what makes no sense, or can't change without a
+// restart, is named, and the settings at hand stay.
+func TestReconfigureTakesAllOrNothing(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	for key, spoil := range map[string]func(*Settings){
+		"membershipMode":     func(s *Settings) { s.Membership = Watched },
+		"index":              func(s *Settings) { s.Index = 2 },
+		"zone":               func(s *Settings) { s.Zone = 1 },
+		"classes[1].aimMs":   func(s *Settings) { s.Classes[1].AimMs = 0 },
+		"limits.maxAttempts": func(s *Settings) { s.Limits.MaxAttempts = 0 },
+	} {
+		set := testSettings()
+		set.Classes[0].AimMs, set.Limits.MaxRetryAfterMs = 77, 88
+		spoil(&set)
+		if err := r.b.Reconfigure(set); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", key, err)
+		}
+		if r.b.set.Limits.MaxRetryAfterMs == 88 || r.b.classes[0].AimMs == 77 {
+			t.Fatalf("%s: a part is in force", key)
+		}
+	}
+}
+
+// What is open when other settings come goes on under its own terms: a request that could be
+// repeated still is, though its class may not any more, and one that could not is not, though
+// its class now may. What comes after goes by the new ones, under the classes' new numbers.
+func TestOpenRequestsKeepTheirTerms(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	free, s := r.sent(0, 1)
+	once, o := r.sent(1, 2)
+	set := testSettings()
+	set.Limits.MaxAttempts = 1
+	set.Classes[0], set.Classes[1] = set.Classes[1], set.Classes[0]
+	set.Classes[0].Effect, set.Classes[1].Effect = Free, SingleShot // by name: "once" is now free
+	if err := r.b.Reconfigure(set); err != nil {
+		t.Fatal(err)
+	}
+	if a := find(r.outcome(free, 0, s, Reset, 5), ActSend); a == nil || a.Request != free {
+		t.Errorf("what could be repeated is not: %+v", a)
+	}
+	if actions := r.outcome(once, 0, o, Reset, 5); find(actions, ActSend) != nil || find(actions, ActFail) == nil {
+		t.Errorf("what could not be repeated: %+v", actions)
+	}
+	next, s := r.sent(0, 3) // class "once" of the new settings: free, and one attempt
+	if actions := r.outcome(next, 0, s, Reset, 5); find(actions, ActSend) != nil || find(actions, ActRefuse) == nil {
+		t.Errorf("a new request: %+v", actions)
+	}
+}
+
+// States, ejections, slow start, the limit and the retry budget stay, and what was learnt of
+// classes and tenants stays with their names.
+func TestReconfigureKeepsWhatWasLearnt(t *testing.T) {
+	set := testSettings()
+	set.Tenants = []Tenant{{Name: "a", Portion: 0.5}, {Name: "b", Portion: 0.5}}
+	r := newRig(t, set, 4)
+	r.list(ListDelta, Entry{Server: addr(3), Health: Ready, Weight: 1, SinceMs: r.now}) // cold
+	for range 30 {
+		id, s := r.sent(0, r.b.rng.Uint64())
+		r.now += 10
+		r.outcome(id, 0, s, OK, 10)
+	}
+	id, s := r.sent(2, 7)
+	r.outcome(id, 0, s, Error, 10)
+	r.b.usage[0], r.b.usage[1] = 0.9, 0.1
+	before := map[Addr]server{}
+	for _, s := range r.b.servers {
+		before[s.id] = *s
+	}
+	limit, budget, rate, expect := r.b.boost, r.b.again, r.b.rate(), r.b.classes[0].expect
+	set.Tenants = []Tenant{{Name: "c", Portion: 0.2}, {Name: "b", Portion: 0.2}, {Name: "a", Portion: 0.6}}
+	set.Classes = []Class{set.Classes[2], set.Classes[0]}
+	set.Limits.KeepaliveMs *= 2
+	if err := r.b.Reconfigure(set); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range r.b.servers {
+		b := before[s.id]
+		if s.state != b.state || s.strikes != b.strikes || s.credit != b.credit || s.startedAt != b.startedAt ||
+			s.window != b.window || s.lat != b.lat {
+			t.Errorf("of server %v something was forgotten", s.id)
+		}
+	}
+	if r.b.boost != limit || r.b.again != budget || !near(r.b.rate(), rate) {
+		t.Errorf("limit %v, budget %v, rate %v; before %v, %v, %v", r.b.boost, r.b.again, r.b.rate(), limit, budget, rate)
+	}
+	if r.b.classes[1].expect != expect || r.b.usage[2] != 0.9 || r.b.usage[1] != 0.1 || r.b.usage[0] != 0 {
+		t.Errorf("class %+v, tenants %v", r.b.classes[1], r.b.usage)
+	}
+	if !r.b.overShare(2) || r.b.overShare(1) {
+		t.Error("the tenants' portions are not those of the new settings")
+	}
+}
+
+func near(x, y float64) bool { return x-y < 1e-9 && y-x < 1e-9 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -76,27 +76,28 @@
 
 // request is one try of a client, kept until it is answered and no attempt is out.
 type request struct {
-	id         RequestID
-	class      *class
-	tenant     int
-	key        uint64
-	hash       uint64 // what orders the servers for it
-	hint       float64
-	first      float64 // when the client's first try came, as far as known
-	arrived    float64
-	aimAt      float64
-	deadline   float64 // margin already taken off
-	attempts   []*attempt
-	open       int // attempts out
-	risky      int // attempts that may have run
-	ranAt      float64
-	ranOn      *server
-	near       [keyServers]*server // nearest its key, as of epoch
-	epoch      uint64
-	tierWeight float64 // of the tier at its last pick
-	value      float64
-	closed     bool
-	started    bool // a streamed answer belongs to the client now
+	id          RequestID
+	class       *class
+	tenant      int
+	key         uint64
+	hash        uint64 // what orders the servers for it
+	hint        float64
+	first       float64 // when the client's first try came, as far as known
+	arrived     float64
+	aimAt       float64
+	deadline    float64 // margin already taken off
+	attempts    []*attempt
+	maxAttempts int
+	open        int // attempts out
+	risky       int // attempts that may have run
+	ranAt       float64
+	ranOn       *server
+	near        [keyServers]*server // nearest its key, as of epoch
+	epoch       uint64
+	tierWeight  float64 // of the tier at its last pick
+	value       float64
+	closed      bool
+	started     bool // a streamed answer belongs to the client now
 }
 
 // keyCounter counts how often each key came among the last keyMemory requests.
