Make no attempt for a client whose leaving waits in the loop's queue

The loop handles its queue in order. With the loop behind, a request, the end of its attempt or a list that makes room for it is handled before the word that its client has left, and an attempt was made for it, however long the client had been gone.

The handler now marks its request the moment it knows (the client left, or its guard answered), before it posts the word, and the loop looks at the mark where it sends. The module is told that the attempt is moot and ends the request.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -61,6 +61,7 @@
 	kind        string
 	body        []byte
 	answers     chan answer // room for the one that is sent
+	gone        atomic.Bool // the client has left, or was answered without the loop
 
 	id       policy.RequestID
 	answered bool
@@ -392,8 +393,9 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.open++
-	if !b.usable || r.answered {
+	if !b.usable || r.answered || r.gone.Load() {
 		// The module sends to what is listed as ready only; should it not, nothing goes out.
+		// Nor does it for a client whose leaving is still in the queue.
 		a.cancel(nil)
 		l.todo = append(l.todo, input{kind: inOutcome, att: a, res: result{status: policy.Moot}})
 		return
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -188,6 +188,7 @@
 		if p := recover(); p != nil {
 			a.log.Error("panic in a handler", "panic", p, "stack", string(debug.Stack()))
 			if r != nil {
+				r.gone.Store(true)
 				a.loop.post(input{kind: inDropped, req: r})
 			}
 			if !answered {
@@ -225,10 +226,12 @@
 		a.answer(w, ans)
 	case <-hr.Context().Done(): // the client has gone
 		answered = true
+		r.gone.Store(true) // seen at once, however long the loop's queue
 		a.loop.post(input{kind: inDropped, req: r})
 		a.leftBehind(w)
 	case <-guard.C:
 		answered = true
+		r.gone.Store(true)
 		a.write(w, http.StatusGatewayTimeout, "", nil)
 		a.loop.post(input{kind: inDropped, req: r})
 	}
