Ask the client's connection itself before the first byte of an attempt

An attempt knew that its client had left only once the server's reader had read the end, the handler had woken up and the loop had withdrawn the attempt. Two holes were found by tests:

- On a machine that gives the agent no processor for a while, timers and queues run before the reads, so an attempt that waited (a late connect) began though the end had long come; and so did one of a request whose client had left before the agent read it.
- The server looks for the client's end with a read of one byte, and starts none while it holds a byte that it read so under the request before.
A request that came in one piece with that one was then open with nobody looking: its client's leaving was never seen.

An attempt now asks the connection before its first byte: a peek, and where bytes wait unread the state of the TCP connection, as the end may be behind them. An attempt that finds the client gone is moot; its server is not blamed.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -27,6 +27,7 @@
 
 var (
 	errWithdrawn = errors.New("attempt withdrawn before its first byte")
+	errGone      = errors.New("the client has left before the first byte")
 	errSockets   = errors.New("no socket left for a new connection")
 	errCancelled = errors.New("attempt cancelled")
 	errDrained   = errors.New("backend drains or is gone")
@@ -129,6 +130,9 @@
 	if !a.before.IsZero() && time.Now().After(a.before) {
 		return res, errLate
 	}
+	if a.req.left() {
+		return res, errGone
+	}
 	if !a.begin() {
 		return res, errWithdrawn
 	}
@@ -242,7 +246,7 @@
 	never := a.withdraw()
 	cause := context.Cause(a.ctx)
 	switch {
-	case never && errors.Is(err, errLate):
+	case never && (errors.Is(err, errLate) || errors.Is(err, errGone)):
 		return policy.Moot
 	case never && (errors.Is(err, errSockets) || errors.Is(cause, errDrained)):
 		return policy.Full
--- a/internal/agent/left_test.go
+++ b/internal/agent/left_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -134,6 +140,64 @@
 	}
 }
 
+// stalledConn is a client's connection of which nobody has the time to read more than the
+// first bytes until it is released.
+type stalledConn struct {
+	*net.TCPConn
+	got     atomic.Bool
+	release chan struct{}
+}
+
+func (c *stalledConn) Read(p []byte) (int, error) {
+	if c.got.Load() {
+		<-c.release
+	}
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.got.Store(true)
+	}
+	return n, err
+}
+
+type stalledListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l stalledListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &stalledConn{TCPConn: c.(*net.TCPConn), release: l.release}, nil
+}
+
+// lateConnect lets connections come up only when the test lets them. Only the connection
+// itself tells an attempt then whether its client has left.
+func lateConnect(a *Agent) (dialling chan struct{}, up chan struct{}) {
+	dialling, up = make(chan struct{}, 10), make(chan struct{})
+	plain := a.loop.pool.connect
+	a.loop.pool.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dialling <- struct{}{}
+		<-up
+		return plain(ctx, network, addr)
+	}
+	return dialling, up
+}
+
+// clientEnded waits until the end of a client has come to the agent's machine.
+func clientEnded(t *testing.T, a *Agent) {
+	t.Helper()
+	eventually(t, "the client's end", func() bool {
+		a.places.mu.Lock()
+		defer a.places.mu.Unlock()
+		for c := range a.places.conns {
+			return ended(c.Conn)
+		}
+		return true
+	})
+}
+
 // unopened waits until the agent holds no request, and fails if a backend got one.
 func unopened(t *testing.T, a *Agent, came chan string) {
 	t.Helper()
@@ -145,3 +209,109 @@
 		t.Fatalf("sent %q on for a client that has left", <-came)
 	}
 }
+
+// The end of a client counts as soon as it has come, read or not: on a busy machine whoever
+// looks for it may get the processor later than the attempt.
+func TestNothingIsSentForWhoseEndIsUnread(t *testing.T) {
+	for how, leave := range leavings {
+		t.Run(how, func(t *testing.T) {
+			addr, came := counted(t, 200, false)
+			read := make(chan struct{})
+			a, base, _, _ := startOn(t, config(nowhere, addr), func(ln net.Listener) net.Listener {
+				return stalledListener{ln, read}
+			})
+			dialling, up := lateConnect(a)
+			c := dial(t, base)
+			io.WriteString(c, raw("order", "left"))
+			<-dialling
+			leave(c)
+			clientEnded(t, a)
+			close(up)
+			unopened(t, a, came)
+			close(read)
+			if status, _, _ := do(t, call(base, "order")); status != 200 {
+				t.Fatalf("the next client was answered %d", status)
+			}
+		})
+	}
+}
+
+// The server doesn't look for the client's end under a request that came in one piece with
+// the one before it, when a byte of a third was read under that one. Nothing is sent on for
+// it all the same.
+func TestNothingIsSentForWhoLeftBehindOthers(t *testing.T) {
+	for how, leave := range leavings {
+		t.Run(how, func(t *testing.T) {
+			got, release := make(chan string, 10), make(chan struct{})
+			addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+				if req, err := readRequest(r); err == nil {
+					got <- req.Header.Get("Request-Id")
+					<-release
+					io.WriteString(c, strings.Replace(okAnswer, "\r\n", "\r\nConnection: close\r\n", 1))
+				}
+			})
+			a, base, _, _ := start(t, config(nowhere, addr))
+			dialling, up := lateConnect(a)
+			c := dial(t, base)
+			io.WriteString(c, raw("order", "p1")+raw("order", "p2"))
+			<-dialling
+			up <- struct{}{}
+			if id := <-got; id != "p1" {
+				t.Fatalf("got %q", id)
+			}
+			io.WriteString(c, "P") // and not the rest of the third
+			eventually(t, "a byte of the third read", func() bool {
+				a.places.mu.Lock()
+				defer a.places.mu.Unlock()
+				for c := range a.places.conns {
+					return c.coming && pending(c.Conn) == 0
+				}
+				return false
+			})
+			close(release)
+			<-dialling // the second
+			leave(c)
+			clientEnded(t, a)
+			close(up)
+			unopened(t, a, got)
+		})
+	}
+}
+
+// Whoever leaves while its request comes in, in the head, in the body or right behind it, has
+// nothing sent on: here all of it came before the agent even took the connection.
+func TestNothingIsSentForWhoLeftUnread(t *testing.T) {
+	whole := strings.Replace(raw("order", "left"), "\r\n\r\n", "\r\nContent-Length: 8\r\n\r\nhalfrest", 1)
+	addr, came := counted(t, 200, false)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := "http://" + ln.Addr().String()
+	for i, text := range []string{whole[:20], whole[:len(whole)-4], whole, whole + whole} {
+		for how, leave := range leavings {
+			if how == "end of its sending" && len(text) < len(whole) {
+				continue // it reads its answer, that the request did not come whole
+			}
+			c := dial(t, base)
+			io.WriteString(c, strings.ReplaceAll(text, "left", fmt.Sprint("left", i, strings.ReplaceAll(how, " ", "_"))))
+			leave(c)
+		}
+	}
+	a, err := New(parse(t, config(nowhere, addr)), slog.New(looker{slog.DiscardHandler, make(chan func(), 1)}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(func() { stop(); a.server.Close(); a.stop() })
+	go a.Serve(ctx, ln)
+	if status, _, _ := do(t, call(base, "order")); status != 200 { // the last in the backlog
+		t.Fatalf("the next client was answered %d", status)
+	}
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	eventually(t, "all connections ended", func() bool { return a.places.count() == 0 })
+	if id := <-came; strings.HasPrefix(id, "left") {
+		t.Fatalf("sent %q on for a client that has left", id)
+	}
+	unopened(t, a, came)
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -61,6 +61,7 @@
 	kind        string
 	body        []byte
 	answers     chan answer // room for the one that is sent
+	client      net.Conn    // its connection; nil: nobody's
 	gone        atomic.Bool // the client has left, or was answered without the loop
 
 	id       policy.RequestID
@@ -69,6 +70,16 @@
 	open     int
 }
 
+// left tells whether nobody waits for the request any more. It asks the client's connection
+// itself: its end may be there before anybody has had the time to read it, as what waits
+// for the processor or in the loop's queue is done in the order in which it came.
+func (r *request) left() bool {
+	if !r.gone.Load() && r.client != nil && ended(r.client) {
+		r.gone.Store(true)
+	}
+	return r.gone.Load()
+}
+
 // answer is the final answer to a request.
 type answer struct {
 	status     policy.Status // OK: served; Full: refused; Error: failed; duplicate
--- a/internal/agent/places.go
+++ b/internal/agent/places.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -152,6 +153,34 @@
 	return found
 }
 
+// The states of Linux's TCP in which the peer has ended its sending, or the connection.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
+
+// ended tells whether the peer has ended its sending on a connection, though bytes from
+// before may wait unread: with these only the connection's state tells.
+func ended(c net.Conn) bool {
+	switch pending(c) {
+	case -1:
+		return true
+	case 0:
+		return false
+	}
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info [4]byte // the state is the first byte
+	err = raw.Control(func(fd uintptr) {
+		if word, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
+			binary.NativeEndian.PutUint32(info[:], uint32(word))
+		}
+	})
+	return err != nil || info[0] == tcpClose || info[0] == tcpCloseWait
+}
+
 // places holds the clients' connections, at most as many as there are places.
 type places struct {
 	most  int
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -203,6 +203,9 @@
 		return
 	}
 	defer a.bodies.Add(-int64(len(r.body)))
+	if c, ok := hr.Context().Value(connKey{}).(*clientConn); ok {
+		r.client = c.Conn
+	}
 	if left := a.leaving.Load(); left != nil && time.Since(*left) >= refuseAfter {
 		answered = true
 		a.answer(w, answer{status: policy.Full, retryAfter: ms(a.conf.Settings.Limits.MaxRetryAfterMs)})
