Show that nothing is sent for a client that left while a connection rested

TestLeavingEndsTheRest has the attempt alone; TestNothingIsSentForWhoLeftARest has it from a client's close, reset or end of its sending on.

--- a/internal/agent/left_test.go
+++ b/internal/agent/left_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // leavings are the ways in which a client can leave.
@@ -315,3 +316,33 @@
 	}
 	unopened(t, a, came)
 }
+
+// A client that leaves while its attempt waits for a connection at rest has nothing sent on it.
+func TestNothingIsSentForWhoLeftARest(t *testing.T) {
+	for how, leave := range leavings {
+		t.Run(how, func(t *testing.T) {
+			addr, came := counted(t, 200, false)
+			a, base, _, _ := start(t, config(nowhere, addr))
+			asked, rested := make(chan struct{}, 10), make(chan time.Time)
+			p := a.loop.pool
+			p.after = func(time.Duration) <-chan time.Time {
+				asked <- struct{}{}
+				return rested
+			}
+			if status, _, _ := do(t, call(base, "order")); status != 200 {
+				t.Fatalf("answered %d", status)
+			}
+			<-came
+			p.mu.Lock()
+			p.spare.Front().Value.(*conn).since = time.Now().Add(never) // rests however slow the test is
+			p.mu.Unlock()
+			c := dial(t, base)
+			io.WriteString(c, raw("order", "left"))
+			<-asked
+			leave(c)
+			eventually(t, "the leaving noticed", func() bool { return !a.holds("left") })
+			close(rested)
+			unopened(t, a, came)
+		})
+	}
+}
