Put another configuration in force on SIGHUP without a restart, all of it or nothing

The loop now puts the whole configuration in force between two inputs: first what can refuse (names of zones and kinds, the module's settings), then the bounds of connections, ids and places, then discovery. Open requests go on under their terms; one that was read under the settings before is asked under its class's new number, or refused where its class is no more or asked in another way. /ready, the list, the connections, the servers' states, slow start, limit and retry budget stay.

Tests on real sockets and in the program; the tests of a new discovery and of the last word hand in a configuration where they handed in an address.

--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -34,12 +34,10 @@
 	if err != nil {
 		return err
 	}
-	// The machine may have more cores than the agent may use; more threads than cores
-	// would only wait for each other. The live heap is a few MB, so it may grow well
-	// past the usual twice, which saves collections, but not near the limit.
-	runtime.GOMAXPROCS(max(int(math.Ceil(conf.Limits.Cores)), 1))
+	// The live heap is a few MB, so it may grow well past the usual twice, which saves
+	// collections.
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB * 0.6 * (1 << 20)))
+	limit(conf.Limits)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", conf.Name)
 	a, err := agent.New(conf, log)
 	if err != nil {
@@ -52,11 +50,15 @@
 	go func() {
 		for range reload {
 			next, err := agent.LoadConfig(path)
+			if err == nil {
+				err = a.Reload(next)
+			}
 			if err != nil {
 				log.Error("reload: the configuration at hand is kept", "err", err)
 				continue
 			}
-			a.Reload(next)
+			limit(next.Limits)
+			log.Info("reload: the configuration is in force", "discovery", next.Discovery)
 		}
 	}()
 	log.Info("started", "listen", conf.Listen, "backends", len(conf.Known.Hosts))
@@ -66,3 +68,11 @@
 	log.Info("ended")
 	return nil
 }
+
+// limit keeps the process to the limits. The machine may have more cores than the agent may
+// use; more threads than cores would only wait for each other. The heap must not come near
+// the limit of memory.
+func limit(l agent.Limits) {
+	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
+	debug.SetMemoryLimit(int64(l.MemoryMB * 0.6 * (1 << 20)))
+}
--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -170,6 +170,27 @@
 		t.Fatalf("asked %v", got)
 	}
 	awaitReady(t, listen, out)
+	// What can't change without a restart is named in one line, and nothing of it is in force.
+	hup(wholeConfig("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"))
+	eventually(t, "a word of what can't change", out, func() bool {
+		return strings.Count(out.String(), "config: listen: can't change without a restart") == 1
+	})
+	awaitReady(t, listen, out)
+	// Other settings are in force without a restart: a class that was unknown is asked.
+	status := func() int {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/another/u1", strings.NewReader("x"))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if got := status(); got != http.StatusNotFound {
+		t.Fatalf("an unknown class is answered %d", got)
+	}
+	hup(strings.Replace(wholeConfig(listen, disc.Listener.Addr().String(), "127.0.0.1:1"), `"name":"order"`, `"name":"another"`, 1))
+	eventually(t, "the new class", out, func() bool { return status() == http.StatusBadRequest }) // it wants an id
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -266,7 +266,7 @@
 		req.RequestURI, req.URL.Path = path, path
 		req.Body = http.NoBody
 		req.ContentLength = 0
-		r, bad := a.read(httptest.NewRecorder(), req, time.Now())
+		r, bad := a.read(a.conf.Load(), httptest.NewRecorder(), req, time.Now())
 		if bad != nil || (r.key != 0) != keyed {
 			t.Errorf("%s: %+v, %v", path, r, bad)
 		}
@@ -321,7 +321,7 @@
 		never: guardMargin + wordMargin, 40 * time.Second: guardMargin + wordMargin, 8 * time.Millisecond: 2 * time.Millisecond,
 	} {
 		l := quietLoop(t, "127.0.0.1:1")
-		r := &request{class: 2, tenant: -1, method: http.MethodPost, target: "/order/u1", host: "b",
+		r := &request{conf: l.conf, class: 2, tenant: -1, method: http.MethodPost, target: "/order/u1", host: "b",
 			wireID: "last", deadline: time.Now().Add(left), answers: make(chan answer, 1)}
 		before := time.Until(r.deadline)
 		l.handle(input{kind: inRequest, req: r})
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"molepaddle/internal/wire"
 	"molepaddle/policy"
@@ -126,6 +127,46 @@
 	return c, nil
 }
 
+// longest is the longest deadline that a request may bring.
+func (c *Config) longest() time.Duration {
+	longest := leastTimeout
+	for i := range c.Settings.Classes {
+		longest = max(longest, ms(c.Settings.Classes[i].GiveUpMs))
+	}
+	return longest
+}
+
+// module gives the settings as the module is told them on sockets, where no more requests
+// may be open than there are places for, and even what is pushed reaches only who watches.
+// Taken at its word, "pushed" meant that no agent ever watched and that each learned of
+// drains from the fetches its own failures caused.
+func (c *Config) module() policy.Settings {
+	set := c.Settings
+	if most := openRequests(c.Limits.Sockets); set.Limits.OpenCap <= 0 || set.Limits.OpenCap > most {
+		set.Limits.OpenCap = most
+	}
+	if set.Membership == policy.Pushed {
+		set.Membership = policy.Watched
+	}
+	return set
+}
+
+// keeps reports the first word that doesn't have the same place in other names: what the
+// list said of the servers rests on it.
+func (n *names) keeps(other *names) error {
+	for _, f := range []struct {
+		key      string
+		old, new map[string]int
+	}{{"failureDomains", n.sites, other.sites}, {"shapes", n.kinds, other.kinds}} {
+		for word, place := range f.old {
+			if at, ok := f.new[word]; !ok || at != place {
+				return fmt.Errorf("settings: %s: the place of %q can't change without a restart", f.key, word)
+			}
+		}
+	}
+	return nil
+}
+
 func checkAddress(addr string) error {
 	_, port, err := net.SplitHostPort(addr)
 	if err != nil {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -23,7 +23,7 @@
 	inFetched                  // list or err, gen
 	inWatched                  // list, gen
 	inWatchEnded               // err, lost, gen
-	inReload                   // text: the address of discovery
+	inReload                   // conf, done
 )
 
 // duplicate is the answer to a request whose id came before.
@@ -40,12 +40,14 @@
 	err   error
 	lost  bool // the watch had lived before it ended
 	gen   int  // of the discovery that was asked
-	text  string
+	conf  *Config
+	done  chan error // room for the one that is sent
 }
 
 // request is what a client asked. The handler fills it in; what stands below
 // answers belongs to the loop.
 type request struct {
+	conf        *Config // in force when it was read; class and tenant are its numbers
 	class       int
 	tenant      int
 	key         uint64
@@ -92,8 +94,7 @@
 // carries out what it decides. Nothing in it blocks.
 type loop struct {
 	bal      *policy.Balancer
-	set      *policy.Settings
-	names    *names
+	conf     *Config // in force
 	log      *slog.Logger
 	in       chan input
 	todo     []input // what the loop itself gave rise to, to be handled next
@@ -114,16 +115,9 @@
 }
 
 func newLoop(ctx context.Context, c *Config, log *slog.Logger) (*loop, error) {
-	set := c.Settings
-	if most := openRequests(c.Limits.Sockets); set.Limits.OpenCap <= 0 || set.Limits.OpenCap > most {
-		set.Limits.OpenCap = most
-	}
-	// On sockets even what is pushed reaches only who watches: the module is told so, and
-	// decides when. Taken at its word, "pushed" meant that no agent ever watched and that
-	// each learned of drains from the fetches its own failures caused.
+	set := c.module()
 	first := callFirst
-	if set.Membership == policy.Pushed {
-		set.Membership = policy.Watched
+	if set.Membership == policy.Watched {
 		first = localFirst
 	}
 	bal, err := policy.New(set, c.Seed)
@@ -133,22 +127,13 @@
 	// The module's clock is the Unix time of the start, then monotonic: born_ms needs
 	// no translation, and steps of the system's clock don't show.
 	base := time.Now()
-	connect := ms(c.Settings.Limits.ConnectTimeoutMs)
-	if connect <= 0 {
-		connect = time.Second
-	}
-	l := &loop{bal: bal, set: &set, names: &c.Names, log: log, ctx: ctx,
+	l := &loop{bal: bal, conf: c, log: log, ctx: ctx,
 		// Room for all that can be under way at once: a handler must not wait here
 		// while its guard is not yet set.
 		in: make(chan input, 4*c.Limits.Sockets), base: base, baseMs: float64(base.UnixMicro()) / 1000,
 		requests: map[policy.RequestID]*request{}, backends: map[policy.Addr]*backend{},
-		pool: newPool((&net.Dialer{KeepAlive: -1}).DialContext, connect,
-			ms(c.Settings.Limits.KeepaliveMs/2), backendSockets(c.Limits.Sockets))}
-	longest := 0.0
-	for _, class := range set.Classes {
-		longest = max(longest, class.GiveUpMs)
-	}
-	l.ids = newIDMemory(ms(longest) + time.Second) // longer than any request is open
+		pool: newPool((&net.Dialer{KeepAlive: -1}).DialContext, 0, 0, 0), ids: newIDMemory(0)}
+	l.bound()
 	l.disc = newDiscovery(ctx, c.Discovery, 0, l.post)
 	l.disc.first = first
 	l.actions = l.bal.Start(l.clock(), l.actions[:0])
@@ -157,6 +142,17 @@
 	return l, nil
 }
 
+// bound takes the bounds of connections and memory from the configuration in force.
+func (l *loop) bound() {
+	limits := &l.conf.Settings.Limits
+	connect := ms(limits.ConnectTimeoutMs)
+	if connect <= 0 {
+		connect = time.Second
+	}
+	l.pool.configure(connect, ms(limits.KeepaliveMs/2), backendSockets(l.conf.Limits.Sockets))
+	l.ids.keep = max(l.ids.keep, l.conf.longest()+time.Second) // longer than any request is open
+}
+
 func ms(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
 
 func (l *loop) clock() float64 {
@@ -210,7 +206,7 @@
 	case inTimer:
 		l.tell(&policy.Event{Kind: policy.EvTimer, Token: in.token})
 	case inReload:
-		l.reload(in.text)
+		in.done <- l.reload(in.conf)
 	case inFetched, inWatched, inWatchEnded:
 		if in.gen == l.disc.gen { // else of a discovery that is asked no more
 			l.onDiscovery(&in)
@@ -249,10 +245,24 @@
 	}
 }
 
-// reload turns to another discovery: the old one's calls end and their results no
+// reload puts another configuration in force, all or nothing.
+func (l *loop) reload(c *Config) error {
+	if err := l.conf.Names.keeps(&c.Names); err != nil {
+		return err
+	}
+	if err := l.bal.Reconfigure(c.module()); err != nil {
+		return err
+	}
+	l.conf = c
+	l.bound()
+	l.turn(c.Discovery)
+	return nil
+}
+
+// turn turns to another discovery: the old one's calls end and their results no
 // longer count, the new one is asked for all that it knows, at once. Until it tells, the
 // list at hand and all connections stay. Its versions have nothing to do with the old.
-func (l *loop) reload(addr string) {
+func (l *loop) turn(addr string) {
 	if addr == l.disc.addr {
 		return
 	}
@@ -272,7 +282,35 @@
 	l.act()
 }
 
+// renumber gives a request that was read under another configuration the numbers that its
+// class and its tenant have now, and reports whether the class is still asked in the same way.
+func (l *loop) renumber(r *request) bool {
+	if r.conf == l.conf {
+		return true
+	}
+	was := &r.conf.Settings
+	class, known := l.conf.Names.classes[was.Classes[r.class].Name]
+	if !known || l.conf.Settings.Classes[class].Effect != was.Classes[r.class].Effect {
+		return false
+	}
+	r.class = class
+	if len(l.conf.Names.tenants) > 0 {
+		tenant := -1
+		if r.tenant >= 0 && r.tenant < len(was.Tenants) {
+			if i, ok := l.conf.Names.tenants[was.Tenants[r.tenant].Name]; ok {
+				tenant = i
+			}
+		}
+		r.tenant = tenant
+	}
+	return true
+}
+
 func (l *loop) onRequest(r *request) {
+	if !l.renumber(r) { // it never ran
+		l.answer(r, answer{status: policy.Full, retryAfter: ms(l.conf.Settings.Limits.MaxRetryAfterMs)})
+		return
+	}
 	if !l.ids.add(r.wireID, time.Now()) {
 		l.answer(r, answer{status: duplicate})
 		return
@@ -307,7 +345,7 @@
 	}
 	l.tell(&policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: a.index, Server: b.addr,
 		Status: res.status, LatencyMs: float64(res.took) / float64(time.Millisecond),
-		Final: r.answered, Report: report(res.load, l.set.Report.Names)})
+		Final: r.answered, Report: report(res.load, l.conf.Settings.Report.Names)})
 	l.forget(r)
 }
 
@@ -424,7 +462,7 @@
 	named := map[policy.Addr]bool{}
 	for i := range list.Hosts {
 		h := &list.Hosts[i]
-		entries[i] = l.names.entry(h)
+		entries[i] = l.conf.Names.entry(h)
 		addr := entries[i].Server
 		named[addr] = true
 		b := l.backends[addr]
--- a/internal/agent/places.go
+++ b/internal/agent/places.go
@@ -193,6 +193,13 @@
 	return &places{most: most, many: many, conns: map[*clientConn]struct{}{}}
 }
 
+// resize changes how many places there are; connections over it end as others come.
+func (p *places) resize(most, many int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most, p.many = most, many
+}
+
 // listener gives each connection that it accepts a place.
 type listener struct {
 	net.Listener
--- a/internal/agent/places_test.go
+++ b/internal/agent/places_test.go
@@ -290,6 +290,17 @@
 	}
 }
 
+// reloadTo puts the loop's configuration with another discovery in force.
+func reloadTo(t *testing.T, l *loop, discovery string) {
+	t.Helper()
+	next, done := *l.conf, make(chan error, 1)
+	next.Discovery = discovery
+	l.handle(input{kind: inReload, conf: &next, done: done})
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // A new discovery is watched and asked at once, late words of the old one change
 // nothing, and its versions may start lower. Backends stay known meanwhile.
 func TestReload(t *testing.T) {
@@ -303,7 +314,7 @@
 	l.seq = 41
 	before := l.backends[addrOf("s-0")].group
 	l.fetching, l.watching = true, true
-	l.handle(input{kind: inReload, text: s.Listener.Addr().String()})
+	reloadTo(t, l, s.Listener.Addr().String())
 	t.Cleanup(l.disc.close)
 	if got := map[string]bool{<-asked: true, <-asked: true}; !got[""] || !got["follow=1&since=0"] {
 		t.Fatalf("asked %v", got)
@@ -320,7 +331,7 @@
 		t.Fatal("the new discovery was not heard")
 	}
 	disc := l.disc
-	if l.handle(input{kind: inReload, text: disc.addr}); l.disc != disc {
+	if reloadTo(t, l, disc.addr); l.disc != disc {
 		t.Fatal("the same discovery was taken for a new one")
 	}
 }
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -70,6 +70,13 @@
 	return &pool{connect: connect, after: time.After, timeout: timeout, idle: idle, most: most, spare: list.New()}
 }
 
+// configure changes the bounds; connections over them close as others are wanted.
+func (p *pool) configure(timeout, idle time.Duration, most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timeout, p.idle, p.most = timeout, idle, most
+}
+
 func (p *pool) group(dial string) *group { return &group{pool: p, dial: dial} }
 
 // get gives a connection that nothing waits on: an idle one or, within the context and
@@ -77,7 +84,7 @@
 func (g *group) get(ctx context.Context) (*conn, error) {
 	p := g.pool
 	p.mu.Lock()
-	limit := p.ages.limit(p.idle)
+	limit, timeout := p.ages.limit(p.idle), p.timeout
 	for c := g.pick(time.Now()); c != nil; c = g.pick(time.Now()) {
 		p.mu.Unlock()
 		if rest := settle - time.Since(c.since); rest > 0 {
@@ -108,7 +115,7 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := p.connect(ctx, "tcp", g.dial)
 	if err != nil {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -38,6 +38,8 @@
 	// keepIdle is how long a client's connection stays open between requests when its
 	// place is not needed.
 	keepIdle = 15 * time.Second
+	// unreadFor is how long a client may take to read its answer.
+	unreadFor = 5 * time.Second
 	// maxHead bounds a request's head. leastTimeout is up to where any deadline makes sense,
 	// whatever the classes' own are.
 	maxHead      = 16 << 10
@@ -65,8 +67,9 @@
 type Agent struct {
 	loop    *loop
 	server  *http.Server
-	conf    *Config
-	longest time.Duration // the longest deadline there is
+	conf    atomic.Pointer[Config]
+	began   time.Duration // the longest deadline at the start, which bounds the server's writes
+	longest atomic.Int64  // the longest deadline that there has been, in ns
 	log     *slog.Logger
 	leaving atomic.Pointer[time.Time] // since when; nil: not
 	bodies  atomic.Int64              // bytes of the bodies held
@@ -82,17 +85,16 @@
 		stop()
 		return nil, err
 	}
-	a := &Agent{loop: l, conf: c, log: log, stop: stop, longest: leastTimeout}
-	for _, class := range c.Settings.Classes {
-		a.longest = max(a.longest, ms(class.GiveUpMs))
-	}
+	a := &Agent{loop: l, log: log, stop: stop, began: c.longest()}
+	a.conf.Store(c)
+	a.longest.Store(int64(a.began))
 	a.places = newPlaces(clientSockets(c.Limits.Sockets), keptSockets(c.Limits.Sockets))
 	a.server = &http.Server{
 		Handler:           a,
 		ReadHeaderTimeout: headFor,
 		IdleTimeout:       keepIdle,
 		MaxHeaderBytes:    maxHead,
-		WriteTimeout:      a.longest + 5*time.Second, // a client that never reads
+		WriteTimeout:      a.began + unreadFor,
 		// 'OPTIONS *' is no request of the settings' classes: read refuses it.
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelWarn),
@@ -106,9 +108,33 @@
 
 type connKey struct{}
 
-// Reload takes what may change while the agent runs from a new configuration: the
-// address of discovery.
-func (a *Agent) Reload(c *Config) { a.loop.post(input{kind: inReload, text: c.Discovery}) }
+// Reload puts another configuration in force while the agent runs: all of it or, with an
+// error that names what can't change without a restart, nothing. Requests that are open go on
+// under the terms that they were taken with; the list, the connections and what was learnt of
+// servers stay. The seed and the list in the file belong to a start, and are passed over.
+func (a *Agent) Reload(c *Config) error {
+	old := a.conf.Load()
+	switch {
+	case c.Name != old.Name:
+		return fmt.Errorf("config: name: can't change without a restart, is %q and would be %q", old.Name, c.Name)
+	case c.Listen != old.Listen:
+		return fmt.Errorf("config: listen: can't change without a restart, is %q and would be %q", old.Listen, c.Listen)
+	}
+	done := make(chan error, 1)
+	a.loop.post(input{kind: inReload, conf: c, done: done})
+	select {
+	case err := <-done:
+		if err != nil {
+			return fmt.Errorf("config: %w", err)
+		}
+	case <-a.loop.ctx.Done():
+		return errors.New("config: the agent has ended")
+	}
+	a.longest.Store(max(a.longest.Load(), int64(c.longest())))
+	a.places.resize(clientSockets(c.Limits.Sockets), keptSockets(c.Limits.Sockets))
+	a.conf.Store(c) // what is read from here on carries the new classes
+	return nil
+}
 
 // Serve answers on the listener until the context ends, then finishes what it holds.
 func (a *Agent) Serve(ctx context.Context, ln net.Listener) error {
@@ -149,7 +175,7 @@
 func (a *Agent) leave(ln net.Listener) error {
 	began := time.Now()
 	a.leaving.Store(&began)
-	last := acceptFor + settleFor + headFor + bodyFor + a.longest + settleFor
+	last := acceptFor + settleFor + headFor + bodyFor + time.Duration(a.longest.Load()) + settleFor
 	for {
 		since := time.Since(began)
 		settled := since >= acceptFor+settleFor
@@ -196,7 +222,11 @@
 			}
 		}
 	}()
-	r, bad := a.read(w, hr, came)
+	conf := a.conf.Load()
+	if longest := conf.longest(); longest > a.began {
+		_ = http.NewResponseController(w).SetWriteDeadline(came.Add(longest + unreadFor))
+	}
+	r, bad := a.read(conf, w, hr, came)
 	if bad != nil {
 		answered = true
 		a.reject(w, hr, bad)
@@ -208,12 +238,12 @@
 	}
 	if left := a.leaving.Load(); left != nil && time.Since(*left) >= refuseAfter {
 		answered = true
-		a.answer(w, answer{status: policy.Full, retryAfter: ms(a.conf.Settings.Limits.MaxRetryAfterMs)})
+		a.answer(w, answer{status: policy.Full, retryAfter: ms(conf.Settings.Limits.MaxRetryAfterMs)})
 		return
 	}
 	if time.Until(r.deadline) <= guardMargin { // nobody could serve it: it never ran
 		answered = true
-		a.answer(w, answer{status: policy.Full, retryAfter: ms(a.conf.Settings.Limits.MaxRetryAfterMs)})
+		a.answer(w, answer{status: policy.Full, retryAfter: ms(conf.Settings.Limits.MaxRetryAfterMs)})
 		return
 	}
 	guard := time.NewTimer(time.Until(r.deadline) - guardMargin)
@@ -262,8 +292,8 @@
 }
 
 // read makes a request of what the client sent, its body included.
-func (a *Agent) read(w http.ResponseWriter, hr *http.Request, came time.Time) (*request, *problem) {
-	r := &request{method: hr.Method, target: hr.RequestURI, host: hr.Host,
+func (a *Agent) read(conf *Config, w http.ResponseWriter, hr *http.Request, came time.Time) (*request, *problem) {
+	r := &request{conf: conf, method: hr.Method, target: hr.RequestURI, host: hr.Host,
 		retry: hr.Header.Get("Client-Retry") == "1", answers: make(chan answer, 1)}
 	// The server ignores a length beside a Transfer-Encoding, so a request could hide in
 	// the body for whoever reads it the other way; clients send lengths.
@@ -277,7 +307,7 @@
 		return nil, &problem{http.StatusBadRequest, "no path: an agent is no proxy"}
 	}
 	parts := strings.Split(hr.URL.Path[1:], "/")
-	class, known := a.conf.Names.classes[parts[0]]
+	class, known := conf.Names.classes[parts[0]]
 	if !known {
 		return nil, &problem{http.StatusNotFound, "unknown class of request"}
 	}
@@ -295,12 +325,12 @@
 			*field.value = values[0]
 		}
 	}
-	set := &a.conf.Settings.Classes[class]
+	set := &conf.Settings.Classes[class]
 	want := http.MethodPost
 	if set.Effect == policy.Free {
 		want = http.MethodGet
 	}
-	left, err := parseTimeout(timeout, a.longest)
+	left, err := parseTimeout(timeout, conf.longest())
 	switch {
 	case hr.Method != want:
 		return nil, &problem{http.StatusMethodNotAllowed, "this class is asked with " + want}
@@ -320,8 +350,8 @@
 	if len(parts) > 1 && parts[len(parts)-1] != "" {
 		r.key = keyOf(parts[len(parts)-1])
 	}
-	if name := hr.Header.Get("Tenant"); len(a.conf.Names.tenants) > 0 {
-		if r.tenant, known = a.conf.Names.tenants[name]; !known {
+	if name := hr.Header.Get("Tenant"); len(conf.Names.tenants) > 0 {
+		if r.tenant, known = conf.Names.tenants[name]; !known {
 			r.tenant = -1
 		}
 	}
@@ -343,7 +373,7 @@
 			a.bodies.Add(-hr.ContentLength)
 		}
 	}()
-	if held > int64(a.conf.Limits.MemoryMB*(1<<20)/8) {
+	if held > int64(r.conf.Limits.MemoryMB*(1<<20)/8) {
 		return &problem{http.StatusServiceUnavailable, "body: no memory left"}
 	}
 	// A body that stops coming must not hold its connection for ever.
--- a/internal/agent/watch_test.go
+++ b/internal/agent/watch_test.go
@@ -221,7 +221,7 @@
 			if l.disc.first != want {
 				t.Errorf("%s: waits %v for the first word", mode, l.disc.first)
 			}
-			l.reload("127.0.0.1:2")
+			l.turn("127.0.0.1:2")
 			if l.disc.first != want {
 				t.Errorf("%s: waits %v after a reload", mode, l.disc.first)
 			}
