End the dial of a discovery call with the call

The HTTP transport goes on dialling after the call that wanted the connection was given up. Where discovery's machine says nothing, so that connections never come up, each call (one a second where lists are pushed) left a socket behind for as long as the system tries, some two minutes. Seen on the program with a listener whose backlog is full: 11, 16, 20, 25, 30 and 35 descriptors after 5 to 30 s, past the 16 that limits.sockets leaves to all but clients and backends.

The transport now dials with the call's own context. TestGivenUpCallStopsDialling fails without it, for a watch and a fetch ('still dials for a call that was given up'), and passes 50 times under the race detector with it.

--- /dev/null
+++ b/internal/agent/descriptors_test.go
@@ -0,0 +1,42 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+)
+
+// A call of discovery that is given up while its connection comes up leaves no dial behind: a
+// discovery that was cut off would cost a descriptor a call, for minutes.
+func TestGivenUpCallStopsDialling(t *testing.T) {
+	for _, call := range []string{"watch", "fetch"} {
+		t.Run(call, func(t *testing.T) {
+			told := make(chan input, 10)
+			d := newDiscovery(t.Context(), nowhere, 0, func(in input) { told <- in })
+			dialling, ended := make(chan struct{}), make(chan struct{})
+			d.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+				close(dialling)
+				<-ctx.Done()
+				close(ended)
+				return nil, ctx.Err()
+			}
+			if call == "watch" {
+				d.first = time.Millisecond
+				go d.watch(1, false)
+			} else {
+				go d.fetch(false)
+				<-dialling
+				d.close()
+			}
+			if in := await(t, told); in.err == nil {
+				t.Fatalf("told %+v", in)
+			}
+			select {
+			case <-ended:
+			case <-time.After(noAnswer):
+				t.Fatal("still dials for a call that was given up")
+			}
+		})
+	}
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -120,6 +121,7 @@
 	base    string
 	gen     int // tells the results of one discovery from those of the one before
 	client  *http.Client
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	post    func(input)
 	first   time.Duration // within which a watch must begin to tell
 	silence time.Duration // after which it has ended
@@ -127,15 +129,24 @@
 	close   context.CancelFunc // ends all calls
 }
 
+// callKey finds a call's own context in the one that the transport dials with.
+type callKey struct{}
+
 func newDiscovery(ctx context.Context, addr string, gen int, post func(input)) *discovery {
 	d := &discovery{addr: addr, base: "http://" + addr + "/v1/endpoints", gen: gen, first: watchSilence, silence: watchSilence,
+		dial: (&net.Dialer{}).DialContext}
+	d.client = &http.Client{
 		// A connection a call: a kept one could break under the next call, which the
 		// transport would then send twice, and each call is work for discovery.
-		client: &http.Client{
-			Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxListHead},
-			// Discovery is where the configuration says, not where an answer points.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}}
+		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxListHead,
+			// Left to itself the transport goes on dialling after the call was given up. Where
+			// connections never come up each call would hold a descriptor for minutes.
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				return d.dial(ctx.Value(callKey{}).(context.Context), network, addr)
+			}},
+		// Discovery is where the configuration says, not where an answer points.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	d.ctx, d.close = context.WithCancel(ctx)
 	d.post = func(in input) {
 		in.gen = gen
@@ -288,7 +299,7 @@
 }
 
 func (d *discovery) get(ctx context.Context, url string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(context.WithValue(ctx, callKey{}, ctx), http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
