Free a client's place after its descriptor, not before

A closing connection gave up its place first, so that a new one could be open beside it: with many handlers closing at once the agent could pass limits.sockets. TestPlaceIsHeldUntilTheDescriptorIsClosed failed before ('its place is free while it is still open') and passes 50 times under the race detector.

--- a/internal/agent/descriptors_test.go
+++ b/internal/agent/descriptors_test.go
@@ -40,3 +40,33 @@
 		})
 	}
 }
+
+// closingConn tells when a client's connection is closed.
+type closingConn struct {
+	net.Conn
+	closing func()
+}
+
+func (c closingConn) Close() error {
+	c.closing()
+	return c.Conn.Close()
+}
+
+// A place is free when the descriptor is: given to a new connection before, both would be open.
+func TestPlaceIsHeldUntilTheDescriptorIsClosed(t *testing.T) {
+	p := newPlaces(1, 1)
+	server, client := net.Pipe()
+	defer client.Close()
+	closed := false
+	c := &clientConn{places: p, Conn: closingConn{server, func() {
+		if closed = true; p.count() != 1 {
+			t.Error("its place is free while it is still open")
+		}
+	}}}
+	if !p.take(c, time.Now()) {
+		t.Fatal("no place though there is room")
+	}
+	if err := c.Close(); err != nil || !closed || p.count() != 0 {
+		t.Fatalf("closed %v, %v; %d places taken", closed, err, p.count())
+	}
+}
--- a/internal/agent/places.go
+++ b/internal/agent/places.go
@@ -101,8 +101,9 @@
 }
 
 func (c *clientConn) Close() error {
-	c.places.drop(c)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.places.drop(c) // not before: the next would be open beside it
+	return err
 }
 
 // CloseWrite lets the server end its side first, so that a client still sending reads
