Give up the place of a client whose next request does not come to its end

A connection of which a byte of the next request had come was never closed for a new client, and the server waits for the first bytes up to its idle time of 15 s: as many such clients as there are places kept out all others, GET /ready with them. Such a connection now counts as one whose first request does not come to its end: it may be closed after 500 ms, if its place is needed.

TestPlacesAreMade has it as a third kind and failed in it ('connection reset by peer'). In that test the connections are now dated back once, after all are in their stage, no longer at each look: as strict.

--- a/internal/agent/places.go
+++ b/internal/agent/places.go
@@ -42,7 +42,7 @@
 	places *places
 	got    atomic.Bool // something was read from it
 	stage  stage
-	since  time.Time // when the stage began
+	since  time.Time // when the stage began, or its next request to come
 	coming bool      // bytes of its next request were read
 	closed bool      // by its places: no request of it is taken any more
 	ahead  []byte    // read while a request was open, not yet handed on
@@ -249,7 +249,7 @@
 
 // least finds the connection to close for a new one: the one idle longest, else the
 // oldest that has said nothing, else one that was turned away, else the oldest whose
-// first request does not come to its end, and of the others one between requests. One
+// request does not come to its end, and of the others one between requests. One
 // with a request open is never closed.
 func (p *places) least(now time.Time) *clientConn {
 	const kinds = 5
@@ -258,6 +258,9 @@
 		kind, age := kinds, now.Sub(c.since)
 		switch {
 		case c.stage == idle && c.coming:
+			if age >= unfinishedFor { // the server waits far longer for its first bytes
+				kind = 3
+			}
 		case c.stage == idle && age >= idleFor:
 			kind = 0
 		case c.stage == fresh && c.got.Load() && age >= unfinishedFor:
@@ -291,6 +294,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	open = c.stage == busy
+	if c.stage == idle && !c.coming {
+		c.since = time.Now()
+	}
 	c.coming = c.coming || !open || ahead
 	return !c.closed, open
 }
--- a/internal/agent/places_test.go
+++ b/internal/agent/places_test.go
@@ -44,13 +44,14 @@
 	return string(text)
 }
 
-// Connections that say nothing, or asked once and are kept for good, must not keep out
+// Connections that say nothing, or asked once and are kept for good, or began another
+// request that does not come to its end, must not keep out
 // a client whose time runs: a place is made for it.
 func TestPlacesAreMade(t *testing.T) {
 	addr, _ := counted(t, 200, false)
 	conf := config(nowhere, addr)
 	conf["limits"].(map[string]any)["sockets"] = minSockets
-	for _, kind := range []string{"silent", "idle"} {
+	for _, kind := range []string{"silent", "idle", "coming"} {
 		t.Run(kind, func(t *testing.T) {
 			a, base, _, _ := start(t, conf)
 			a.places.mu.Lock()
@@ -58,23 +59,28 @@
 			a.places.mu.Unlock()
 			for i := range clientSockets(minSockets) {
 				c := dial(t, base)
-				if kind == "idle" {
+				if kind != "silent" {
 					fmt.Fprintf(c, "POST /order/u1 HTTP/1.1\r\nHost: b\r\nRequest-Id: %s%d\r\nRequest-Timeout: 30000m\r\nContent-Length: 0\r\n\r\n", kind, i)
 					if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
 						t.Fatalf("got %v, %v", resp, err)
 					}
 				}
+				if kind == "coming" {
+					io.WriteString(c, "P")
+				}
 				eventually(t, "the place taken", func() bool { return a.places.count() == i+1 })
 			}
-			if kind == "idle" {
-				// As if all had been idle for long.
-				eventually(t, "all idle", func() bool {
+			if kind != "silent" {
+				// As if all had been so for long.
+				eventually(t, "all "+kind, func() bool {
 					a.places.mu.Lock()
 					defer a.places.mu.Unlock()
 					for c := range a.places.conns {
-						if c.stage != idle {
+						if c.stage != idle || c.coming != (kind == "coming") {
 							return false
 						}
+					}
+					for c := range a.places.conns {
 						c.since = c.since.Add(-idleFor)
 					}
 					return true
