Count the servers and held requests that the module's decisions look at

The module now counts what its walks look at: listed servers, entries of lists, held requests; Work returns the sum.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -233,6 +233,7 @@
 // dispatch sends what is held as far as there is room: the most valuable first,
 // of equals the newest, as under overload the oldest would only end late.
 func (b *Balancer) dispatch() {
+	b.work += uint64(len(b.held))
 	for _, r := range b.held {
 		r.value = b.value(r)
 	}
@@ -322,6 +323,7 @@
 
 // expire ends held requests that can no longer earn anything, before they cost work.
 func (b *Balancer) expire() {
+	b.work += uint64(len(b.held))
 	for i := 0; i < len(b.held); {
 		r := b.held[i]
 		last := r.aimAt
@@ -367,10 +369,11 @@
 func (b *Balancer) pick(r *request) *server {
 	waits, subset := b.waits(r), b.subset()
 	for rank := range 3 {
-		tier, n := b.tier[:0], 0
+		tier, n, seen := b.tier[:0], 0, 0
 		r.tierWeight = 0
 		var near [keyServers]*server
 		for _, s := range b.servers {
+			seen++
 			if b.rank(s, r) != rank || !b.maySend(r, s) {
 				continue
 			}
@@ -390,6 +393,7 @@
 			}
 		}
 		b.tier = tier
+		b.work += uint64(seen)
 		if r.tierWeight == 0 {
 			continue // an empty tier passes down
 		}
@@ -609,6 +613,7 @@
 		b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
 		b.flowAt = b.now
 	}
+	b.visit(b.servers)
 	for _, o := range b.servers {
 		if b.ramp(o) < 1 && warm > 0 {
 			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
@@ -943,6 +948,7 @@
 // watchSilence demotes servers that took attempts and have answered nothing for
 // several answer times: hung or gone silent, they would stay Connected.
 func (b *Balancer) watchSilence() {
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		silent := func(a *attempt, times float64) bool {
 			return b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*times
@@ -987,6 +993,7 @@
 // revalidate, on each request, refreshes servers that were Unhealthy long enough to
 // pending, to be validated in the background.
 func (b *Balancer) revalidate() {
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		if s.state == Unhealthy && s.usable && len(s.out) == 0 && b.now-s.since >= b.holdFor(s) {
 			b.enter(s, UnhealthyPending)
@@ -1078,11 +1085,13 @@
 		b.update(&ev.Entries[i])
 	}
 	if ev.List != ListDelta {
+		b.visit(b.servers)
 		for _, s := range b.servers {
 			s.usable = s.usable && named[s.id]
 		}
 	}
 	b.ready = 0
+	b.visit(b.servers)
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
 		if s.usable {
 			b.ready++
@@ -1096,6 +1105,7 @@
 }
 
 func (b *Balancer) update(e *Entry) {
+	b.work++
 	s, since := b.byAddr[e.Server], finite(e.SinceMs)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
--- a/policy/state.go
+++ b/policy/state.go
@@ -169,8 +169,17 @@
 	seen       float64 // requests since
 	ticking    bool
 	scarce     bool // requests that would take any server find no room
+	work       uint64
 }
 
+// Work is how many listed servers, entries of lists and held requests the decisions have
+// looked at so far: what a decision costs, without a clock. Its growth with the size of the
+// list can be tested where times can't.
+func (b *Balancer) Work() uint64 { return b.work }
+
+// visit counts a walk over servers as work.
+func (b *Balancer) visit(servers []*server) { b.work += uint64(len(servers)) }
+
 // tally keeps the classes' shares of requests and of those served in time.
 func (b *Balancer) tally(class int) {
 	b.credit = 0
@@ -259,6 +268,7 @@
 		return b.warm
 	}
 	b.warm, b.warmAt, b.warmEpoch = 0, b.now, b.epoch
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		if s.usable && s.state <= Unknown && b.ramp(s) == 1 {
 			b.warm += s.weight
@@ -271,6 +281,7 @@
 // servers it tells nothing.
 func (b *Balancer) medianFails() float64 {
 	b.shares = b.shares[:0]
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		if s.usable {
 			b.shares = append(b.shares, s.fails)
