--- a/internal/fleet/decide/decide.go
+++ b/internal/fleet/decide/decide.go
@@ -60,9 +60,8 @@
 }
 
 var (
-	timeFigures  = []string{"request", "outcome", "tick", "call"}
-	countFigures = []string{"call alloc", "work"}
-	listFigures  = []string{"delta", "delta alloc", "whole list", "whole list alloc", "state"}
+	callFigures = []string{"request", "outcome", "tick", "core", "call", "call alloc", "work"}
+	listFigures = []string{"delta", "delta alloc", "whole list", "whole list alloc", "state"}
 )
 
 // Run plays all cases and adds them with their fits to the result.
@@ -141,8 +140,7 @@
 	}
 	base := o.base()
 	lists := &series{name: "lists", over: "servers", target: float64(base.servers), figures: listFigures}
-	requests := append(slices.Clone(timeFigures), countFigures...)
-	servers := &series{name: "servers", over: "servers", target: float64(base.servers), figures: requests}
+	servers := &series{name: "servers", over: "servers", target: float64(base.servers), figures: callFigures}
 	for _, n := range o.lengths() {
 		l := base
 		l.servers, l.replicas = n, max(int(math.Round(float64(base.replicas)*float64(n)/float64(base.servers))), 1)
@@ -151,7 +149,7 @@
 	}
 	// Where nothing is held the load is another. What a call costs there says little: most end
 	// unserved.
-	held := &series{name: "held", over: "held", target: maxHeld, figures: timeFigures[:3], apart: 1}
+	held := &series{name: "held", over: "held", target: maxHeld, figures: callFigures[:4], apart: 1}
 	for _, n := range []int{0, 8, 32, 64, 256, maxHeld} {
 		l := base
 		l.held = n
@@ -241,11 +239,14 @@
 	n := float64(o.Requests)
 	p.p.tally = tally{}
 	m.begin(timing, readNs, p.p.b)
+	from := p.p.now
 	p.p.play(o.Requests)
 	c.Add("request", "us", m.us(newRequest))
 	c.Add("outcome", "us", m.us(outcome))
 	c.Add("tick", "us", m.us(tick))
-	c.Add("call", "us", (m.perKind[newRequest].ns+m.perKind[outcome].ns+m.perKind[tick].ns)/1000/n)
+	ns := m.perKind[newRequest].ns + m.perKind[outcome].ns + m.perKind[tick].ns
+	c.Add("call", "us", ns/1000/n)
+	c.Add("core", "share", ns/1e6/max(p.p.now-from, 1))
 	c.Add("work", "count", float64(p.p.b.Work()-m.workAt)/n)
 	c.Add("attempts", "count", float64(p.p.tally.attempts)/n)
 	c.Add("refused", "share", float64(p.p.tally.refused)/n)
@@ -305,12 +306,13 @@
 		if err != nil {
 			return nil, err
 		}
+		var first tally
 		for round := range warmRounds + limitRounds {
 			if err := ctx.Err(); err != nil {
 				return nil, fmt.Errorf("decide: interrupted: %w", err)
 			}
 			if round == warmRounds {
-				p.tally = tally{}
+				first, p.tally = p.tally, tally{}
 			}
 			p.play(o.Requests)
 		}
@@ -318,6 +320,7 @@
 		t := &p.tally
 		slices.Sort(t.waits)
 		requests := float64(t.requests)
+		c.Add("refused first", "share", float64(first.refused)/float64(first.requests))
 		c.Add("requests", "count", requests)
 		c.Add("refused", "share", float64(t.refused)/requests)
 		c.Add("attempts", "count", float64(t.attempts)/requests)
