--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -99,6 +99,7 @@
 	actions  []policy.Action
 	ready    atomic.Bool // a backend can be sent to
 	ctx      context.Context
+	learned  func(seq int64, whole bool) // told of each list in force; may be nil
 }
 
 func newLoop(ctx context.Context, c *Config, log *slog.Logger) (*loop, error) {
@@ -446,6 +447,9 @@
 		usable = usable || b.usable
 	}
 	l.ready.Store(usable)
+	if l.learned != nil {
+		l.learned(l.seq, kind == policy.ListFull)
+	}
 }
 
 // withdraw stops the attempts of which no byte has gone out, and closes the connections
