--- a/internal/fleet/control/plan.go
+++ b/internal/fleet/control/plan.go
@@ -34,7 +34,7 @@
 	Membership string
 	Scope      string
 	AskWithin  time.Duration // the settings' contract.askWithinMs
-	Spread     time.Duration // over which the agents' starts are spread evenly
+	Spread     time.Duration // over which the agents' starts are spread evenly; less in a smaller fleet
 	Changes    int           // of one server each, on the calm fleet
 	Calm       time.Duration // without a change
 	Down       time.Duration // of a killed stand-in, until another is at its address
@@ -96,6 +96,15 @@
 	return p.fits()
 }
 
+// with is the plan with a part of the agents, who start as densely, and a part of the servers.
+func (p *Plan) with(agents, servers float64) Plan {
+	part := *p
+	part.Size.Agents = int(agents * float64(p.Size.Agents))
+	part.Size.Servers = int(servers * float64(p.Size.Servers))
+	part.Spread = time.Duration(agents * float64(p.Spread))
+	return part
+}
+
 // fits refuses what would pass the machine's memory, processes or descriptors.
 func (p *Plan) fits() error {
 	size := p.Size
--- a/internal/fleet/control/run.go
+++ b/internal/fleet/control/run.go
@@ -45,16 +45,13 @@
 	}
 	if plan.Sweep {
 		for _, part := range sweepParts {
-			p := *plan
-			p.Size.Agents = int(part * float64(p.Size.Agents))
+			p := plan.with(part, 1)
 			if err := play(caseAgents, p, nil); err != nil {
 				return cases, nil, err
 			}
 		}
 		for _, part := range append(sweepParts[:len(sweepParts):len(sweepParts)], 1) {
-			p := *plan
-			p.Size.Agents = int(sweepAgents * float64(p.Size.Agents))
-			p.Size.Servers = int(part * float64(p.Size.Servers))
+			p := plan.with(sweepAgents, part)
 			if err := play(caseServers, p, nil); err != nil {
 				return cases, nil, err
 			}
@@ -434,7 +431,7 @@
 	notes := []string{
 		"Hollow agents: the real watch code and module without clients, so without a request's work. Their processor time and memory are shares of a process with many of them; what a process of Go holds by itself is left out.",
 		"Bytes are those of HTTP as the stand-ins read and wrote them, without TCP and IP. Processor time is user and system time of the processes, with the bench's own questions in it.",
-		"Times are from the moment at which the source of truth has a change to the moment at which an agent's module has it; all clocks are one machine's. All processes share it, so that a whole list for everybody at once waits for processors that the fleet would have.",
+		"Times are from the moment at which the source of truth has a change to the moment at which an agent's module has it; all clocks are one machine's. All processes share it, so that a whole list for everybody at once waits for processors that the fleet would have: starts are spread by --spread, and a first list's time counts from its agent's own start.",
 		"A percentile that stands over all agents is left out where that part did not get the version within the limit; ..._without counts who did not.",
 		"All stand-ins share the source's versions. One that was replaced has no changes from before its start and tells the whole list to who has an older version.",
 	}
