--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,19 +44,19 @@
 	// failWeight is the weight of an attempt in its server's share of failures, failShare
 	// the least median of these shares with which failures are the fleet's, not a server's.
 	failWeight, failShare = 0.05, 0.01
-	// shareOut is how many attempts for each server all agents together may always have
-	// out: it keeps a server busy and is well under what makes one slower. A good answer
-	// adds boostStep to an agent's part, over those of a round trip; a late one takes up to
-	// boostCut off.
-	shareOut, boostStep, boostCut = 2.0, 0.3, 0.4
+	// attemptsPerServer is how many attempts for each server all agents together may always
+	// have out: it keeps a server busy and is well under what makes one slower. A good answer
+	// adds limitGrowth to an agent's part, over those of a round trip; a late one takes up to
+	// limitCut off.
+	attemptsPerServer, limitGrowth, limitCut = 2.0, 0.3, 0.4
 	// paceStep and fleetStep are the weights of an answer in what its server and the fleet
 	// are held to take, paceFade is how fast an agent forgets the first, in ms: a jammed
 	// server recovers within seconds of rest. paceSlack is how much slower than the fleet a
 	// server may seem by chance, leastPace what the slowest keeps of its weight.
 	paceStep, fleetStep, paceFade, paceSlack, leastPace = 0.5, 0.02, 10000.0, 1.1, 0.02
-	// againShare is how many attempts after the first each answer in time pays for,
-	// againMost what is saved up: enough for a moment in which half the servers vanish.
-	againShare, againMost = 0.5, 20.0
+	// retryRatio is how many attempts after the first each answer in time pays for,
+	// retryBurst what is saved up: enough for a moment in which half the servers vanish.
+	retryRatio, retryBurst = 0.5, 20.0
 	// leastServers is the smallest subset of the fleet an agent sends to.
 	leastServers = 16
 	// maxHeld bounds the requests held for room, and so the work of a decision.
@@ -95,7 +95,7 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
-		home: ownZone, again: againMost, boost: 1, lookedAt: math.Inf(-1),
+		home: ownZone, retryBudget: retryBurst, limitScale: 1, lookedAt: math.Inf(-1),
 		recentKeys: keyCounter{count: map[uint64]int{}}}
 	for i := range b.kinds {
 		b.kinds[i].weight = 1
@@ -243,7 +243,7 @@
 	})
 	// One that waits for its key's servers is passed over; of others a few failures tell.
 	b.scarce = false
-	for i, failures := 0, 0; i < len(b.held) && failures < 4 && b.mayTry(); {
+	for i, failures := 0, 0; i < len(b.held) && failures < 4 && b.underLimit(); {
 		r := b.held[i]
 		if near := r.near; b.waits(r) && near[0] != nil && r.epoch == b.epoch &&
 			!b.takes(near[0], r) && !b.takes(near[1], r) {
@@ -265,21 +265,22 @@
 	}
 }
 
-// mayTry is the agent's part of what the fleet may have out: an adaptive limit on its
+// underLimit is the agent's part of what the fleet may have out: an adaptive limit on its
 // attempts out. What it bounds is the queue in front of the servers, whatever the number
 // of agents and however late they learn. The throttle before it counted failures, and let
 // nothing out until they were forgotten: a whole fleet shut and opened in step, 54 requests
 // were out on 32 servers one second and 490 two seconds before, which tipped them.
-func (b *Balancer) mayTry() bool {
-	out, room := float64(b.inflight-b.stuck), b.share()*b.boost
+func (b *Balancer) underLimit() bool {
+	out, room := float64(b.inflight-b.stuck), b.limitFloor()*b.limitScale
 	return out < max(room, 1) && (room >= 1 || b.now-b.triedAt >= b.meanRTT/room)
 }
 
-// share is the agent's part of shareOut attempts a server: by its part of the traffic that
-// the settings foresee for all agents, an even one where they foresee none. One out at a
-// time does no harm as long as all agents may have one.
-func (b *Balancer) share() float64 {
-	all := shareOut * float64(b.ready)
+// limitFloor is what the limit on attempts never falls below: the agent's part of
+// attemptsPerServer attempts a server, by its part of the traffic that the settings foresee for
+// all agents, an even one where they foresee none. One out at a time does no harm as long as
+// all agents may have one.
+func (b *Balancer) limitFloor() float64 {
+	all := attemptsPerServer * float64(b.ready)
 	even := all / float64(max(b.set.Replicas, 1))
 	rate, quota := b.rate(), 0.0
 	for _, t := range b.set.Tenants {
@@ -292,18 +293,18 @@
 }
 
 // feasible bounds what the settings foresee of all agents, in requests a ms, by what the
-// listed servers answer with shareOut attempts out at each and nothing crowded. In a fleet of
+// listed servers answer with attemptsPerServer out at each and nothing crowded. In a fleet of
 // many services the settings tell of all of them, the list names one service's servers: a
 // part of the whole quota left an agent of a healthy service a hundredth of an attempt, and
 // it refused two calls in three. An agent may so always have out what its own calls take
 // while nothing is crowded (Little's law): of a service asked for x times what it can do, x
-// attempts a server, all agents together, and shareOut where the settings tell of it alone.
+// attempts a server, all agents together, and attemptsPerServer where the settings tell of it alone.
 func (b *Balancer) feasible(rate float64) float64 {
 	calm := b.calmLat * b.meanAim
 	if calm <= 0 || b.ready == 0 {
 		return rate // nothing was measured yet, or nobody can answer
 	}
-	return min(rate, shareOut*float64(b.ready)/calm)
+	return min(rate, attemptsPerServer*float64(b.ready)/calm)
 }
 
 // rateSpan is the time over which requests are counted, in ms: that for which a connection
@@ -323,7 +324,7 @@
 // down the more the later one is, or if it is turned away or left by its client. Errors
 // and broken connections tell nothing of queues.
 func (b *Balancer) adapt(a *attempt, st Status, rtt float64) {
-	room := max(b.share()*b.boost, 1)
+	room := max(b.limitFloor()*b.limitScale, 1)
 	over := min(max(rtt/a.r.class.AimMs-crowdShare, 0), 1)
 	if st == Full {
 		over = 1
@@ -333,11 +334,11 @@
 	}
 	switch {
 	case over > 0 && (st == OK || st == Full || st == Cancelled && !a.called || st == Timeout && !a.s.silent):
-		b.boost = max(b.boost*(1-boostCut*over), 1)
+		b.limitScale = max(b.limitScale*(1-limitCut*over), 1)
 	case st == OK:
-		b.again = min(b.again+againShare, againMost)
+		b.retryBudget = min(b.retryBudget+retryRatio, retryBurst)
 		if float64(2*(b.inflight+1)) >= room {
-			b.boost += boostStep / (b.boost * room)
+			b.limitScale += limitGrowth / (b.limitScale * room)
 		}
 	}
 }
@@ -730,12 +731,12 @@
 	if why == ConnectFailed {
 		price = 0 // no server was asked for anything
 	}
-	spent := b.again < price || len(r.attempts) >= r.maxAttempts
+	spent := b.retryBudget < price || len(r.attempts) >= r.maxAttempts
 	if !able || spent || why == Moot || b.now >= r.deadline {
 		b.end(r)
 		return
 	}
-	b.again -= price
+	b.retryBudget -= price
 	b.held = append(b.held, r)
 }
 
@@ -1004,7 +1005,7 @@
 	case c.LateShare == 0 && b.now >= r.aimAt:
 		a.called = true
 		b.end(r)
-	case again && b.set.Limits.Cancelling && len(r.attempts) < r.maxAttempts && b.again >= 1 &&
+	case again && b.set.Limits.Cancelling && len(r.attempts) < r.maxAttempts && b.retryBudget >= 1 &&
 		b.now+b.expected(r) < r.aimAt:
 		a.called = true
 		b.do(Action{Kind: ActCancel, Request: r.id, Attempt: a.index})
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -225,7 +225,7 @@
 
 func TestDrainingAndGoneGetNothing(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
-	r.b.boost = 1e6 // the agent's own limit is not at issue
+	r.b.limitScale = 1e6 // the agent's own limit is not at issue
 	r.list(ListDelta, Entry{Server: addr(0), Health: Draining, Weight: 1})
 	for key := range uint64(20) {
 		id, s := r.sent(0, key+1)
@@ -458,7 +458,7 @@
 func TestFailingServerIsTriedAgainWhileOthersAreFull(t *testing.T) {
 	for _, full := range []bool{false, true} {
 		r := newRig(t, testSettings(), 4)
-		r.b.boost = 1000 // the servers' windows are at issue, not the agent's limit
+		r.b.limitScale = 1000 // the servers' windows are at issue, not the agent's limit
 		bad := r.b.byAddr[addr(0)]
 		for range 3 {
 			r.b.enter(bad, Connected)
@@ -540,7 +540,7 @@
 // keep others from servers that have room.
 func TestWaitingForAKeyBlocksNobody(t *testing.T) {
 	r := newRig(t, testSettings(), 6)
-	r.b.boost = 1000 // the servers' windows are at issue, not the agent's limit
+	r.b.limitScale = 1000 // the servers' windows are at issue, not the agent's limit
 	for range 30 {
 		r.ask(0, 42) // one key: fills its two servers, the rest are held
 	}
@@ -562,7 +562,7 @@
 	set := testSettings()
 	set.Replicas = 20 // many, as on ie9df20: each sees little of the load
 	r := newRig(t, set, 1)
-	r.b.boost = 1e6 // the agent's own limit is not at issue
+	r.b.limitScale = 1e6 // the agent's own limit is not at issue
 	srv := r.b.servers[0]
 	for range 300 { // long enough to know the calm answer time
 		id, s := r.sent(0, 1)
@@ -786,7 +786,7 @@
 		set := testSettings()
 		set.Replicas = c.agents
 		r := newRig(t, set, 40)
-		r.b.boost = 1e6 // the agent's own limit is not at issue
+		r.b.limitScale = 1e6 // the agent's own limit is not at issue
 		used := map[Addr]bool{}
 		for i := range 1200 {
 			r.now += 20
@@ -830,7 +830,7 @@
 				actions = r.outcome(id, try, a.Server, st, 5)
 			}
 		}
-		if st == OK && first != 200 || st == Full && more != againMost || st == ConnectFailed && more != 400 {
+		if st == OK && first != 200 || st == Full && more != retryBurst || st == ConnectFailed && more != 400 {
 			t.Errorf("ending %d: 200 requests over 4 s became %d first and %d further attempts", st, first, more)
 		}
 	}
@@ -847,7 +847,7 @@
 		set := testSettings()
 		set.Replicas, set.Prices.Connection, set.Prices.Handshake = c.agents, c.connection, c.handshake
 		r := newRig(t, set, 4)
-		r.b.boost = 1e6 // the agent's own limit is not at issue
+		r.b.limitScale = 1e6 // the agent's own limit is not at issue
 		closed := 0
 		for i := range 400 {
 			r.now += 20
@@ -878,7 +878,7 @@
 			set.Limits.KeepaliveMs, set.Replicas, set.Index = 10000, 1000, index
 			set.Prices.Handshake = 0.1
 			r := newRig(t, set, 60)
-			r.b.boost = 1e6 // the agent's own limit is not at issue
+			r.b.limitScale = 1e6 // the agent's own limit is not at issue
 			r.b.demote(r.b.servers[0], true)
 			used := map[Addr]bool{}
 			for range 300 {
@@ -1151,7 +1151,7 @@
 		r.now += 10
 		r.outcome(id, 0, s, OK, 10)
 	}
-	r.b.boost = 1
+	r.b.limitScale = 1
 	return r
 }
 
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -249,8 +249,8 @@
 			t.Errorf("seed %d: server %v keeps %d attempts", seed, s.id, len(s.out))
 		}
 	}
-	if w.b.boost < 1 || w.b.again < 0 || w.b.again > againMost {
-		t.Errorf("seed %d: %.1f times its share, a budget of %.1f", seed, w.b.boost, w.b.again)
+	if w.b.limitScale < 1 || w.b.retryBudget < 0 || w.b.retryBudget > retryBurst {
+		t.Errorf("seed %d: %.1f times its share, a budget of %.1f", seed, w.b.limitScale, w.b.retryBudget)
 	}
 	if len(w.b.pasts) > maxHeld {
 		t.Errorf("seed %d: %d past requests remembered", seed, len(w.b.pasts))
--- a/policy/reconfigure_test.go
+++ b/policy/reconfigure_test.go
@@ -73,7 +73,7 @@
 	for _, s := range r.b.servers {
 		before[s.id] = *s
 	}
-	limit, budget, rate, expect := r.b.boost, r.b.again, r.b.rate(), r.b.classes[0].expect
+	limit, budget, rate, expect := r.b.limitScale, r.b.retryBudget, r.b.rate(), r.b.classes[0].expect
 	set.Tenants = []Tenant{{Name: "c", Portion: 0.2}, {Name: "b", Portion: 0.2}, {Name: "a", Portion: 0.6}}
 	set.Classes = []Class{set.Classes[2], set.Classes[0]}
 	set.Limits.KeepaliveMs *= 2
@@ -87,8 +87,8 @@
 			t.Errorf("of server %v something was forgotten", s.id)
 		}
 	}
-	if r.b.boost != limit || r.b.again != budget || !near(r.b.rate(), rate) {
-		t.Errorf("limit %v, budget %v, rate %v; before %v, %v, %v", r.b.boost, r.b.again, r.b.rate(), limit, budget, rate)
+	if r.b.limitScale != limit || r.b.retryBudget != budget || !near(r.b.rate(), rate) {
+		t.Errorf("limit %v, budget %v, rate %v; before %v, %v, %v", r.b.limitScale, r.b.retryBudget, r.b.rate(), limit, budget, rate)
 	}
 	if r.b.classes[1].expect != expect || r.b.usage[2] != 0.9 || r.b.usage[1] != 0.1 || r.b.usage[0] != 0 {
 		t.Errorf("class %+v, tenants %v", r.b.classes[1], r.b.usage)
--- a/policy/state.go
+++ b/policy/state.go
@@ -133,64 +133,64 @@
 
 // Balancer makes the decisions of one agent. It is not safe for concurrent use.
 type Balancer struct {
-	set        Settings
-	rng        *rand.Rand
-	now        float64
-	out        []Action
-	servers    []*server // by address
-	byAddr     map[Addr]*server
-	requests   map[RequestID]*request
-	held       []*request
-	tier       []*server // scratch of pick
-	shares     []float64 // scratch of common
-	pasts      []past
-	recentKeys keyCounter
-	warm       float64 // weight of warm servers, at warmAt and warmEpoch
-	warmAt     float64
-	warmEpoch  uint64
-	epoch      uint64 // counts changes of tiers and list
-	inflight   int
-	stuck      int // of these, on servers that fell silent
-	probes     int
-	classes    []*class
-	meanHint   float64
-	hints      float64 // answers to hinted requests, and their means and spread
-	hintMean   float64
-	hintTime   float64
-	hintVar    float64
-	hintCov    float64
-	answers    float64   // served so far
-	fleetLat   float64   // mean answer time as a part of the aim, all servers
-	calmLat    float64   // the same when nothing is crowded
-	usage      []float64 // tenants' shares of requests
-	worst      *class    // the class served worst
-	credit     float64   // mean worth of a request
-	aimMin     float64
-	meanAim    float64 // of the requests of late, by their classes
-	lookedAt   float64 // last fetch of the list
-	askedAt    float64 // last call that follows the list
-	failures   int     // failed calls in a row
-	losses     int     // watches in a row that ended as soon as they had told
-	flow       float64 // work sent to a warm server of weight one, fading over the cold time
-	flowAt     float64
-	boost      float64 // how many times its share of attempts the agent may have out
-	again      float64 // retry budget: attempts after a first that may still be made
-	ready      int     // servers listed as ready
-	meanRTT    float64 // mean answer time
-	recent     float64 // requests of late, over the keepalive time, as of recentAt
-	recentAt   float64
-	fleetPace  float64 // mean answer time as a part of the aim, of the last answers
-	home       float64 // weight of the own zone's servers, and mean answer times there and elsewhere
-	homeLat    float64
-	awayLat    float64
-	allLat     float64
-	kinds      [256]struct{ lat, weight float64 } // mean answer time and weight of each kind of machine
-	triedAt    float64                            // last attempt
-	began      float64
-	seen       float64 // requests since
-	ticking    bool
-	scarce     bool // requests that would take any server find no room
-	work       uint64
+	set         Settings
+	rng         *rand.Rand
+	now         float64
+	out         []Action
+	servers     []*server // by address
+	byAddr      map[Addr]*server
+	requests    map[RequestID]*request
+	held        []*request
+	tier        []*server // scratch of pick
+	shares      []float64 // scratch of common
+	pasts       []past
+	recentKeys  keyCounter
+	warm        float64 // weight of warm servers, at warmAt and warmEpoch
+	warmAt      float64
+	warmEpoch   uint64
+	epoch       uint64 // counts changes of tiers and list
+	inflight    int
+	stuck       int // of these, on servers that fell silent
+	probes      int
+	classes     []*class
+	meanHint    float64
+	hints       float64 // answers to hinted requests, and their means and spread
+	hintMean    float64
+	hintTime    float64
+	hintVar     float64
+	hintCov     float64
+	answers     float64   // served so far
+	fleetLat    float64   // mean answer time as a part of the aim, all servers
+	calmLat     float64   // the same when nothing is crowded
+	usage       []float64 // tenants' shares of requests
+	worst       *class    // the class served worst
+	credit      float64   // mean worth of a request
+	aimMin      float64
+	meanAim     float64 // of the requests of late, by their classes
+	lookedAt    float64 // last fetch of the list
+	askedAt     float64 // last call that follows the list
+	failures    int     // failed calls in a row
+	losses      int     // watches in a row that ended as soon as they had told
+	flow        float64 // work sent to a warm server of weight one, fading over the cold time
+	flowAt      float64
+	limitScale  float64 // how many times its share of attempts the agent may have out
+	retryBudget float64 // retry budget: attempts after a first that may still be made
+	ready       int     // servers listed as ready
+	meanRTT     float64 // mean answer time
+	recent      float64 // requests of late, over the keepalive time, as of recentAt
+	recentAt    float64
+	fleetPace   float64 // mean answer time as a part of the aim, of the last answers
+	home        float64 // weight of the own zone's servers, and mean answer times there and elsewhere
+	homeLat     float64
+	awayLat     float64
+	allLat      float64
+	kinds       [256]struct{ lat, weight float64 } // mean answer time and weight of each kind of machine
+	triedAt     float64                            // last attempt
+	began       float64
+	seen        float64 // requests since
+	ticking     bool
+	scarce      bool // requests that would take any server find no room
+	work        uint64
 }
 
 // Work is how many listed servers, entries of lists and held requests the decisions have
