--- a/internal/agent/places.go
+++ b/internal/agent/places.go
@@ -188,10 +188,12 @@
 	many  int // connections that ask or have asked, past which they are not kept
 	mu    sync.Mutex
 	conns map[*clientConn]struct{}
+	// silent and room are silentFor and roomFor, but for tests.
+	silent, room time.Duration
 }
 
 func newPlaces(most, many int) *places {
-	return &places{most: most, many: many, conns: map[*clientConn]struct{}{}}
+	return &places{most: most, many: many, conns: map[*clientConn]struct{}{}, silent: silentFor, room: roomFor}
 }
 
 // resize changes how many places there are; connections over it end as others come.
@@ -226,7 +228,7 @@
 		}
 		cc := &clientConn{Conn: c, places: l.places, since: time.Now()}
 		for !l.places.take(cc, time.Now()) {
-			if time.Since(cc.since) > roomFor {
+			if time.Since(cc.since) > l.places.patience() {
 				c.Close()
 				cc = nil
 				break
@@ -239,6 +241,13 @@
 	}
 }
 
+// patience is how long a new connection waits for a place.
+func (p *places) patience() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.room
+}
+
 // take gives the connection a place, at the cost of the one that needs its own least.
 func (p *places) take(c *clientConn, now time.Time) bool {
 	p.mu.Lock()
@@ -272,7 +281,7 @@
 			kind = 0
 		case c.stage == fresh && c.got.Load() && age >= unfinishedFor:
 			kind = 3
-		case c.stage == fresh && !c.got.Load() && age >= silentFor:
+		case c.stage == fresh && !c.got.Load() && age >= p.silent:
 			kind = 1
 		case c.stage == rejected:
 			kind = 2
