--- a/internal/fleet/control/run.go
+++ b/internal/fleet/control/run.go
@@ -261,10 +261,12 @@
 	if err := f.next(ctx, c, "down"); err != nil {
 		return err
 	}
+	// Agents may be there before the stand-in says that it listens: theirs takes no time.
+	begun := time.Now()
 	if err := f.open(ctx, m); err != nil {
 		return err
 	}
-	return f.recovered(ctx, c, "back", theirs, seq, time.Now())
+	return f.recovered(ctx, c, "back", theirs, seq, begun, time.Now())
 }
 
 // next ends one phase of a trouble and begins the next.
@@ -275,14 +277,14 @@
 	return f.begin(ctx)
 }
 
-// recovered ends a trouble: how long after now a version is in force at agents that could
-// not get it before, and what that took.
-func (f *running) recovered(ctx context.Context, c *fleet.Case, prefix string, agents []int, seq int64, now time.Time) error {
+// recovered ends a trouble: how long after its end a version is in force at agents that could
+// not get it before from, and what that took.
+func (f *running) recovered(ctx context.Context, c *fleet.Case, prefix string, agents []int, seq int64, from, end time.Time) error {
 	took := newTimes()
-	if _, err := f.await(ctx, agents, seq, now); err != nil {
+	if _, err := f.await(ctx, agents, seq, from); err != nil {
 		return err
 	}
-	if err := took.add(f, agents, seq, now, since(now)); err != nil {
+	if err := took.add(f, agents, seq, from, since(end)); err != nil {
 		return err
 	}
 	took.put(c, prefix)
@@ -310,7 +312,7 @@
 	}); err != nil {
 		return err
 	}
-	return f.recovered(ctx, c, "restart", some, seq, now)
+	return f.recovered(ctx, c, "restart", some, seq, now, now)
 }
 
 // silence lets all of discovery fall silent, changes the list meanwhile, and measures from
@@ -344,7 +346,7 @@
 	if err := quiet(false); err != nil {
 		return err
 	}
-	return f.recovered(ctx, c, "back", f.agents(everywhere), seq, now)
+	return f.recovered(ctx, c, "back", f.agents(everywhere), seq, now, now)
 }
 
 // zone takes a zone's servers off the list in one change, and brings them back as new
@@ -423,7 +425,7 @@
 	if err := f.send(ctx); err != nil {
 		return err
 	}
-	return f.recovered(ctx, c, "healed", f.agents(inside), seq, now)
+	return f.recovered(ctx, c, "healed", f.agents(inside), seq, now, now)
 }
 
 // Notes say how a plan's result is to be read.
