Let agents that met no warm server send cold ones what they answer

Cause: hasRoom in policy/policy.go lets a cold server have what warm ones earned it, or, with no warm one left, a part of what warm ones were sent (flow). A new agent has neither, and its credit, drawn below one request, can't grow. Change: an agent that never met a warm server sends a cold one an attempt at a time, within its limit on attempts out (mayTry). So a server gets no more than it answers, which is under a third of what pushes it over.

--- a/internal/fleet/model/days_test.go
+++ b/internal/fleet/model/days_test.go
@@ -77,7 +77,7 @@
 	}
 	const cold = "cold server's load to its budget, most"
 	for name, want := range map[string]bool{"calm": false, "rack": false, "region": false,
-		"zone": true, "replace": true, "cold": true} {
+		"zone": true, "replace": true, "cold": true, "start": true} {
 		if got := figure(t, days[name], cold) > 0; got != want {
 			t.Errorf("%s: cold servers met: %v", name, got)
 		}
@@ -152,6 +152,25 @@
 	}
 }
 
+// A service that starts whole, servers and agents alike, is served from its first second on:
+// agents that had met no warm server sent nothing until all were warm. And yet the servers
+// stay up, also where they can't do what is asked and a request takes a third of its aim.
+func TestServiceStartsWhole(t *testing.T) {
+	for _, f := range []struct{ agents, servers int }{{5, 9}, {30, 20}, {300, 20}} {
+		for _, c := range []struct{ load, workMs, least float64 }{{0.4, 30, 0.25}, {1.2, 100, 0}} {
+			cfg := small(1, f.agents, f.servers, c.load*30/c.workMs)
+			cfg.WorkMs, cfg.Zones, cfg.Uneven, cfg.KeepArrivals = c.workMs, 3, 0.8, false
+			cfg.Settings.Tenants = []policy.Tenant{{Name: "all"}}
+			day := playDay(t, "start", cfg, 7)
+			fell, worst := figure(t, day, "cold servers fallen"), figure(t, day, "worth served in the worst second")
+			if fell > 0 || worst < c.least {
+				t.Errorf("%d agents, load %.1f: %.0f servers fell, %.2f served in the worst second",
+					f.agents, c.load, fell, worst)
+			}
+		}
+	}
+}
+
 // Events come in the order of their times, and of one time in that of their making.
 func TestQueueKeepsOrder(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -525,9 +525,20 @@
 	if len(s.out) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
 		return false
 	}
-	return b.ramp(s) == 1 || s.credit >= b.cost(r) ||
-		b.warmWeight() == 0 && (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >=
-			b.cost(r)*b.set.Contract.ColdMs
+	if b.ramp(s) == 1 || s.credit >= b.cost(r) {
+		return true
+	}
+	if b.warmWeight() > 0 {
+		return false
+	}
+	if b.flow > 0 {
+		return (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >= b.cost(r)*b.set.Contract.ColdMs
+	}
+	// It never met a warm server, so nothing tells what a cold one may be sent: no more than
+	// it answers, as one attempt of this agent at a time waits there and mayTry bounds them
+	// all. Until the first answer they are paced by the aim, or all agents would go on
+	// calling what can't answer.
+	return len(s.out) == 0 && (b.answers > 0 || b.now-b.triedAt >= b.aimMin/min(b.share(), 1))
 }
 
 // ramp is the part of its capacity that a started server has by the contract.
