--- a/internal/fleet/model/days.go
+++ b/internal/fleet/model/days.go
@@ -74,7 +74,7 @@
 		if err := m.play(ctx, min(1, seconds-played)); err != nil {
 			return nil, err
 		}
-		s := m.seconds[len(m.seconds)-1]
+		s := m.secondOf(m.now - 1)
 		log.Info("played", "day", d.Name, "s", m.sinceStart(), "asked", s.Asked, "won", s.Won, "attempts", s.Sends)
 	}
 	m.stopped = true
@@ -88,6 +88,7 @@
 
 // figures counts all since the settling.
 func (m *Model) figures(name string) *fleet.Case {
+	m.second() // so that there are all to the last
 	var sum Count
 	worst := 1.0
 	for _, s := range m.seconds[int(Settle):] {
--- a/internal/fleet/model/days_test.go
+++ b/internal/fleet/model/days_test.go
@@ -243,3 +243,12 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// A fleet of which nobody asks anything for seconds is played and counted all the same.
+func TestSilentFleetIsCounted(t *testing.T) {
+	cfg := tiny(t, 1)
+	cfg.Rate = 0.001
+	if n := figure(t, playDay(t, "calm", cfg, 3), "requests"); n != 0 {
+		t.Errorf("%.0f requests", n)
+	}
+}
