Be ready 5 s after the start, with no backend known as well

An agent that was started with no list, or one that names no usable backend, answered GET /ready with 503 for as long as discovery was down, so its application sent nothing at all.

Such an agent is now ready 5 s after its start, and stays so: requests are held for the list as long as they may wait, and refused then with Retry-After, which is harmless. Before these 5 s discovery has had its time to answer, and the log tells when it did not. Sooner would turn away requests that a list would have served; the program takes some ms of the 6 s to start. An agent that was told of a backend, though long gone, is ready at once, as before.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -24,11 +24,19 @@
 	inWatched                  // list, gen
 	inWatchEnded               // err, lost, gen
 	inReload                   // text: the address of discovery
+	inWaited                   // the agent is ready, whether or not it knows a backend
 )
 
 // duplicate is the answer to a request whose id came before.
 const duplicate policy.Status = 1
 
+// readyWithin is how long after its start an agent that knows no backend waits for discovery
+// before it is ready all the same. One that never is has its application send nothing at all
+// for as long as discovery is down; one that is ready holds the requests for the list as long
+// as they may wait, and tells those that it refuses when to come back. Restarted agents have
+// to be ready within 6 s where little time is left, and 10 s in general.
+const readyWithin = 5 * time.Second
+
 // input is one thing that happened, on its way to the loop.
 type input struct {
 	kind  inKind
@@ -109,7 +117,9 @@
 	watching bool
 	fetching bool
 	actions  []policy.Action
-	ready    atomic.Bool // a backend can be sent to
+	ready    atomic.Bool                             // a backend can be sent to, or none was known for long enough
+	waited   bool                                    // readyWithin is over
+	after    func(time.Duration, func()) *time.Timer // time.AfterFunc, but for tests
 	ctx      context.Context
 }
 
@@ -141,7 +151,7 @@
 		// Room for all that can be under way at once: a handler must not wait here
 		// while its guard is not yet set.
 		in: make(chan input, 4*c.Limits.Sockets), base: base, baseMs: float64(base.UnixMicro()) / 1000,
-		requests: map[policy.RequestID]*request{}, backends: map[policy.Addr]*backend{},
+		requests: map[policy.RequestID]*request{}, backends: map[policy.Addr]*backend{}, after: time.AfterFunc,
 		pool: newPool((&net.Dialer{KeepAlive: -1}).DialContext, connect,
 			ms(c.Settings.Limits.KeepaliveMs/2), backendSockets(c.Limits.Sockets))}
 	longest := 0.0
@@ -174,6 +184,7 @@
 
 // run handles what comes in until the context ends.
 func (l *loop) run() {
+	l.after(readyWithin, func() { l.post(input{kind: inWaited}) })
 	for {
 		select {
 		case in := <-l.in:
@@ -211,6 +222,11 @@
 		l.tell(&policy.Event{Kind: policy.EvTimer, Token: in.token})
 	case inReload:
 		l.reload(in.text)
+	case inWaited:
+		l.waited = true
+		if !l.ready.Swap(true) {
+			l.log.Warn("ready though no backend is known", "after", readyWithin)
+		}
 	case inFetched, inWatched, inWatchEnded:
 		if in.gen == l.disc.gen { // else of a discovery that is asked no more
 			l.onDiscovery(&in)
@@ -458,7 +474,7 @@
 	for _, b := range l.backends {
 		usable = usable || b.usable
 	}
-	l.ready.Store(usable)
+	l.ready.Store(usable || l.waited)
 }
 
 // withdraw stops the attempts of which no byte has gone out, and closes the connections
