Show that idle clients leave the descriptors that the agent needs while discovery is down

TestIdleClientsLeaveDescriptors runs the program with the least limits.sockets, 64, and lets the system open no more for it, the standard streams included. More idle clients than that come (half ask once and stay, half say nothing), requests take all 19 connections to backends, discovery is silent or refuses and is moved four times. GET /ready is answered throughout; discovery comes back, its watch opens, its list is in force, a request is served by its servers, and nothing was refused for want of a descriptor.

--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,9 +17,15 @@
 	"time"
 )
 
-// TestMain makes the test binary the program itself when it is started as a child.
+// TestMain makes the test binary the program itself when it is started as a child, with no
+// more descriptors than it is told.
 func TestMain(m *testing.M) {
 	if os.Getenv("MOLEPADDLE_CHILD") == "1" {
+		if most, err := strconv.ParseUint(os.Getenv("MOLEPADDLE_DESCRIPTORS"), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		os.Exit(0)
 	}
@@ -31,7 +38,7 @@
  "replicasOfMe":1,"roundMs":5,"weights":"nominal","failureDomains":["a"],"shapes":["k"]}`
 
 // child starts the program with the configuration and gives the path of its file.
-func child(t *testing.T, config string) (cmd *exec.Cmd, out *output, path string) {
+func child(t *testing.T, config string, env ...string) (cmd *exec.Cmd, out *output, path string) {
 	t.Helper()
 	path = filepath.Join(t.TempDir(), "config.json")
 	write(t, path, config)
@@ -40,7 +47,7 @@
 		t.Fatal(err)
 	}
 	cmd, out = exec.Command(exe), &output{}
-	cmd.Env = append(os.Environ(), "MOLEPADDLE_CHILD=1", "EDGE_CONFIG="+path)
+	cmd.Env = append(append(os.Environ(), "MOLEPADDLE_CHILD=1", "EDGE_CONFIG="+path), env...)
 	cmd.Stderr = out
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
