Show that nothing is sent for a client that left in its request

TestNothingIsSentForWhoLeftItsRequest: half a head or half a body is read, then comes a close, a reset or the end of the sending. Nothing is sent on, and the place is free again.

--- a/internal/agent/left_test.go
+++ b/internal/agent/left_test.go
@@ -317,6 +317,33 @@
 	unopened(t, a, came)
 }
 
+// Whoever leaves while the agent waits for the rest of its request has nothing sent on, and its
+// place is free again.
+func TestNothingIsSentForWhoLeftItsRequest(t *testing.T) {
+	whole := strings.Replace(raw("order", "left"), "\r\n\r\n", "\r\nContent-Length: 8\r\n\r\nhalfrest", 1)
+	addr, came := counted(t, 200, false)
+	a, base, _, _ := start(t, config(nowhere, addr))
+	for part, text := range map[string]string{"head": whole[:20], "body": whole[:len(whole)-4]} {
+		for _, how := range []string{"close", "reset", "end of its sending"} { // bytes might make it whole
+			t.Run(part+" "+how, func(t *testing.T) {
+				c := dial(t, base)
+				io.WriteString(c, text)
+				eventually(t, "its part read", func() bool {
+					a.places.mu.Lock()
+					defer a.places.mu.Unlock()
+					for c := range a.places.conns {
+						return c.got.Load() && pending(c.Conn) == 0
+					}
+					return false
+				})
+				leavings[how](c)
+				eventually(t, "its place free", func() bool { return a.places.count() == 0 })
+				unopened(t, a, came)
+			})
+		}
+	}
+}
+
 // A client that leaves while its attempt waits for a connection at rest has nothing sent on it.
 func TestNothingIsSentForWhoLeftARest(t *testing.T) {
 	for how, leave := range leavings {
