Have idle clients fill the descriptors of an agent whose discovery is unreachable too

TestIdleClientsLeaveDescriptors gets a third kind of outage: connections to discovery never come up, as its backlog is full.

--- a/cmd/molepaddle/descriptors_test.go
+++ b/cmd/molepaddle/descriptors_test.go
@@ -15,8 +15,8 @@
 	"time"
 )
 
-// outage is a discovery that is down at an address of its own, silent or refusing, until it
-// comes back.
+// outage is a discovery that is down at an address of its own until it comes back: refusing, as
+// nobody listens, silent once a connection is up, or unreachable, so that none comes up.
 type outage struct {
 	addr string
 	fd   int
@@ -24,7 +24,7 @@
 	told atomic.Int32 // watches that were told the list
 }
 
-func newOutage(t *testing.T, silent bool) *outage {
+func newOutage(t *testing.T, how string) *outage {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
@@ -46,10 +46,22 @@
 		t.Fatal(err)
 	}
 	o.addr = fmt.Sprint("127.0.0.1:", at.(*syscall.SockaddrInet4).Port)
-	if silent { // else nobody listens yet, and calls are refused
-		if err := syscall.Listen(fd, 128); err != nil {
+	if how == "refusing" {
+		return o
+	}
+	backlog := 128
+	if how == "unreachable" {
+		backlog = 0 // one connection fills it, and the system drops what asks for another
+	}
+	if err := syscall.Listen(fd, backlog); err != nil {
+		t.Fatal(err)
+	}
+	if how == "unreachable" {
+		c, err := net.Dial("tcp", o.addr)
+		if err != nil {
 			t.Fatal(err)
 		}
+		t.Cleanup(func() { c.Close() })
 	}
 	return o
 }
@@ -82,8 +94,8 @@
 // system lets it open here, and /ready, discovery's calls and the backends find theirs.
 func TestIdleClientsLeaveDescriptors(t *testing.T) {
 	const sockets, toBackends = 64, 19 // the least that a configuration may have, and what is kept of it
-	for _, silent := range []bool{false, true} {
-		t.Run(fmt.Sprint("silent ", silent), func(t *testing.T) {
+	for _, how := range []string{"refusing", "silent", "unreachable"} {
+		t.Run(how, func(t *testing.T) {
 			held, release := make(chan struct{}, 100), make(chan struct{})
 			open := sync.OnceFunc(func() { close(release) })
 			backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -113,7 +125,7 @@
 				return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":%d},
  "settings":%s,"known":%s}`, listen, discovery, sockets, long, hosts("old", toBackends+1, backend.Listener.Addr()))
 			}
-			first, second := newOutage(t, silent), newOutage(t, silent)
+			first, second := newOutage(t, how), newOutage(t, how)
 			cmd, out, path := child(t, configFor(first.addr), fmt.Sprint("MOLEPADDLE_DESCRIPTORS=", sockets))
 			awaitReady(t, listen, out)
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
