--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -160,7 +160,11 @@
 	if connect <= 0 {
 		connect = time.Second
 	}
-	l.pool.configure(connect, ms(limits.KeepaliveMs/2), backendSockets(l.conf.Limits.Sockets))
+	// An answer within its aim is worth no less for a rest of some milliseconds: where the
+	// settings price connections, it costs less to wait.
+	prices := &l.conf.Settings.Prices
+	l.pool.configure(connect, ms(limits.KeepaliveMs/2), backendSockets(l.conf.Limits.Sockets),
+		prices.Handshake == 0 && prices.Connection == 0)
 	l.ids.keep = max(l.ids.keep, l.conf.longest()+time.Second) // longer than any request is open
 }
 
