--- a/internal/fleet/path/path_test.go
+++ b/internal/fleet/path/path_test.go
@@ -114,6 +114,9 @@
 		if sum := get("served") + get("refused") + get("failed"); get("calls") != calls || sum != calls {
 			t.Errorf("%s: %v calls, %v of them ended, want %v", c.Name, get("calls"), sum, calls)
 		}
+		if lost := get("direct_lost"); lost > 0 {
+			t.Errorf("%s: %v direct calls lost", c.Name, lost)
+		}
 		if get("served") == 0 || get("attempts_a_call") < get("served_share") {
 			t.Errorf("%s: %v served, %v attempts a call", c.Name, get("served"), get("attempts_a_call"))
 		}
