Start the limit slowly below one attempt, and leave plain deployments their floor

Change: a calm answer may take four times its work, as at three quarters of what a server can do, so settings that tell of the listed servers are left alone. The lower floor that this leaves in a fleet of many services is made up for by growth: below one attempt the limit doubles with each good answer (slow start), above it grows by parts of one attempt at least, not of its share. A limit that has grown so keeps its size where a longer list raises the floor under it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,6 +49,8 @@
 	// adds limitGrowth to an agent's part, over those of a round trip; a late one takes up to
 	// limitCut off.
 	attemptsPerServer, limitGrowth, limitCut = 2.0, 0.3, 0.4
+	// calmFactor is how many times its work a calm answer may take.
+	calmFactor = 4.0
 	// paceStep and fleetStep are the weights of an answer in what its server and the fleet
 	// are held to take, paceFade is how fast an agent forgets the first, in ms: a jammed
 	// server recovers within seconds of rest. paceSlack is how much slower than the fleet a
@@ -282,31 +284,47 @@
 func (b *Balancer) limitFloor() float64 {
 	all := attemptsPerServer * float64(b.ready)
 	even := all / float64(max(b.set.Replicas, 1))
-	rate, quota := b.rate(), 0.0
+	quota := 0.0
 	for _, t := range b.set.Tenants {
 		quota += t.QuotaPerS / 1000
 	}
 	if quota == 0 {
-		return max(even, all*rate/b.feasible(math.Inf(1)))
+		return max(even, all*b.rate()/b.feasible(math.Inf(1)))
 	}
-	return max(all*rate/b.feasible(quota), min(even, 1))
+	return max(all*b.rate()/b.feasible(quota), min(even, 1))
 }
 
 // feasible bounds what the settings foresee of all agents, in requests a ms, by what the
-// listed servers answer with attemptsPerServer out at each and nothing crowded. In a fleet of
-// many services the settings tell of all of them, the list names one service's servers: a
-// part of the whole quota left an agent of a healthy service a hundredth of an attempt, and
-// it refused two calls in three. An agent may so always have out what its own calls take
-// while nothing is crowded (Little's law): of a service asked for x times what it can do, x
-// attempts a server, all agents together, and attemptsPerServer where the settings tell of it alone.
+// listed servers could possibly answer: in a fleet of many services the settings tell of all
+// of them, the list names one service's servers. A calm answer may still have waited for
+// others: it takes calmFactor times its work at three quarters of what a server can do. So
+// settings that tell of the listed servers are left alone, and what an agent may always have
+// out is under what its own calls take while nothing is crowded (Little's law).
 func (b *Balancer) feasible(rate float64) float64 {
-	calm := b.calmLat * b.meanAim
+	calm := b.calmLat * b.meanAim / calmFactor
 	if calm <= 0 || b.ready == 0 {
 		return rate // nothing was measured yet, or nobody can answer
 	}
 	return min(rate, attemptsPerServer*float64(b.ready)/calm)
 }
 
+// growLimit raises the limit after a good answer. Below one attempt it doubles (slow start),
+// above it grows by a part of one attempt at least. In a fleet of many services the settings
+// tell of all of them and the list names one service's servers: an agent's part is then a
+// hundredth of an attempt, and a limit that grew by parts of that refused two calls in three
+// of a healthy service. Answers that are late take it back to its floor.
+func (b *Balancer) growLimit(limit float64) {
+	floor := b.limitFloor()
+	switch {
+	case floor <= 0:
+	case limit < 1:
+		b.limitScale = min(2*limit, 1) / floor
+	default:
+		one := max(floor, 1)
+		b.limitScale += limitGrowth * one * one / (limit * limit * floor)
+	}
+}
+
 // rateSpan is the time over which requests are counted, in ms: that for which a connection
 // is kept, and where none is, that in which a server may be pushed over.
 func (b *Balancer) rateSpan() float64 {
@@ -324,7 +342,7 @@
 // down the more the later one is, or if it is turned away or left by its client. Errors
 // and broken connections tell nothing of queues.
 func (b *Balancer) adapt(a *attempt, st Status, rtt float64) {
-	room := max(b.limitFloor()*b.limitScale, 1)
+	limit := b.limitFloor() * b.limitScale
 	over := min(max(rtt/a.r.class.AimMs-crowdShare, 0), 1)
 	if st == Full {
 		over = 1
@@ -337,8 +355,8 @@
 		b.limitScale = max(b.limitScale*(1-limitCut*over), 1)
 	case st == OK:
 		b.retryBudget = min(b.retryBudget+retryRatio, retryBurst)
-		if float64(2*(b.inflight+1)) >= room {
-			b.limitScale += limitGrowth / (b.limitScale * room)
+		if float64(2*(b.inflight+1)) >= limit {
+			b.growLimit(limit)
 		}
 	}
 }
@@ -1146,6 +1164,8 @@
 			s.usable = s.usable && named[s.id]
 		}
 	}
+	floor := b.limitFloor()
+	limit := floor * b.limitScale
 	b.ready = 0
 	b.visit(b.servers)
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
@@ -1158,6 +1178,10 @@
 		}
 		return forget
 	})
+	// A limit that has grown far above a part of one attempt does not grow with that part.
+	if now := b.limitFloor(); floor < 1 && now > floor {
+		b.limitScale = max(limit/now, 1)
+	}
 }
 
 func (b *Balancer) update(e *Entry) {
