Walk only the servers that matter to a request, an outcome and a tick

The work of a call grew with the list: with 2,000 servers listed revalidate, warmWeight, watchSilence and earn each walked all of them, beside the 412 of the subset that pick scores. The module now keeps the ejected servers, the busy ones and the cold ones as sets of their own, the first two in the list's order, and counts the warm servers' weight anew only where a tier, the list or who is cold has changed.

Decisions are the same. The property test now compares the sets with the whole list after every event, and draws a short cold time in half its plays, so that servers get warm in them: each of five lines taken out one by one made it fail.

--- a/internal/fleet/decide/decide_test.go
+++ b/internal/fleet/decide/decide_test.go
@@ -48,6 +48,7 @@
 		{"a replacement, by servers", easy(200), easy(2000), replacement, 10},
 		{"a call, by held requests", load{servers: 20, replicas: 20, perAgent: 110, held: 64, seed: 1},
 			load{servers: 20, replicas: 20, perAgent: 110, held: 512, seed: 1}, call, 8},
+		{"a call in a list beyond the subset, by servers", easy(1000), easy(2000), call, 1.1},
 	} {
 		small, large := started(t, c.small), started(t, c.large)
 		before, after := workOf(small, 200, c.do(small)), workOf(large, 200, c.do(large))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -588,6 +588,7 @@
 	}
 	r.risky++
 	s.out = append(s.out, a)
+	b.busy.add(s)
 	if s.sentAt > 0 {
 		s.gap = mean(s.gap, b.now-s.sentAt, smooth)
 	}
@@ -613,8 +614,8 @@
 		b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
 		b.flowAt = b.now
 	}
-	b.visit(b.servers)
-	for _, o := range b.servers {
+	b.visit(b.cold)
+	for _, o := range b.cold {
 		if b.ramp(o) < 1 && warm > 0 {
 			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
 		}
@@ -672,6 +673,9 @@
 	if i := slices.Index(s.out, a); i >= 0 {
 		s.out = slices.Delete(s.out, i, i+1)
 	}
+	if len(s.out) == 0 {
+		b.busy.remove(s)
+	}
 	if ev.Status.NeverRan() {
 		r.risky--
 	}
@@ -852,6 +856,7 @@
 func (b *Balancer) heardFrom(s *server) {
 	if s.lostAt > 0 && b.now-s.lostAt > b.set.Contract.TipAfterMs {
 		s.startedAt, s.window, s.credit = b.now, 1, b.rng.Float64()
+		b.coolDown(s)
 	}
 	s.heard, s.lostAt = b.now, 0
 	for _, a := range s.out {
@@ -948,8 +953,8 @@
 // watchSilence demotes servers that took attempts and have answered nothing for
 // several answer times: hung or gone silent, they would stay Connected.
 func (b *Balancer) watchSilence() {
-	b.visit(b.servers)
-	for _, s := range b.servers {
+	b.visit(b.busy)
+	for _, s := range b.busy {
 		silent := func(a *attempt, times float64) bool {
 			return b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*times
 		}
@@ -993,8 +998,8 @@
 // revalidate, on each request, refreshes servers that were Unhealthy long enough to
 // pending, to be validated in the background.
 func (b *Balancer) revalidate() {
-	b.visit(b.servers)
-	for _, s := range b.servers {
+	b.visit(b.ejected)
+	for _, s := range b.ejected {
 		if s.state == Unhealthy && s.usable && len(s.out) == 0 && b.now-s.since >= b.holdFor(s) {
 			b.enter(s, UnhealthyPending)
 			b.refetch()
@@ -1098,7 +1103,7 @@
 		}
 		forget := !s.usable && len(s.out) == 0 && !s.probing
 		if forget {
-			delete(b.byAddr, s.id)
+			b.forget(s)
 		}
 		return forget
 	})
@@ -1110,19 +1115,19 @@
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
 			window: firstWindow, startedAt: since, listedAt: since, credit: b.rng.Float64()}
+		s.order = mix(s.hash ^ mix(uint64(b.set.Index)+1))
 		b.byAddr[s.id] = s
-		own := mix(uint64(b.set.Index) + 1)
-		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
-			return cmp.Compare(mix(x.hash^own), mix(y.hash^own))
-		})
-		b.servers = slices.Insert(b.servers, i, s)
+		b.servers.add(s)
+		b.coolDown(s)
 	}
 	if since > s.listedAt {
 		// A new process: nothing known of the old one holds, and it is cold. Its credit
 		// starts at random: of many agents that each earn it a part of one request, as
 		// many send one as the parts add up to; from 0 none would before it is warm.
 		s.listedAt = since
+		b.ejected.remove(s)
 		s.startedAt, s.state, s.since, s.silent = since, Unknown, b.now, false
+		b.coolDown(s)
 		s.strikes, s.good, s.lat, s.samples, s.window, s.credit = 0, 0, 0, 0, 1, b.rng.Float64()
 		s.fails, s.pace, s.paceAt = 0, b.fleetPace, b.now
 	}
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -57,6 +57,7 @@
 		s.Classes[i].LateShare = []float64{0, 0.2}[rng.IntN(2)]
 	}
 	s.Membership = []string{Pushed, OnRequest, Watched}[rng.IntN(3)]
+	s.Contract.ColdMs = []float64{500, 10000}[rng.IntN(2)]
 	s.Replicas = 1 + rng.IntN(100)
 	s.Index = rng.IntN(s.Replicas)
 	if rng.IntN(2) == 0 {
@@ -146,7 +147,10 @@
 	}
 }
 
-func (w *world) handle(ev Event) { w.apply(w.b.Handle(w.now, &ev, nil)) }
+func (w *world) handle(ev Event) {
+	w.apply(w.b.Handle(w.now, &ev, nil))
+	w.checkSets()
+}
 
 func (w *world) step() {
 	w.now += w.set.RoundMs
--- /dev/null
+++ b/policy/sets_test.go
@@ -0,0 +1,36 @@
+package policy
+
+import "slices"
+
+// checkSets compares the sets that the decisions walk with the whole list: whoever belongs to
+// one is in it, in the order of the list, and the weight of warm servers is that of a new count.
+func (w *world) checkSets() {
+	w.t.Helper()
+	b := w.b
+	same := func(name string, set ordered, belongs func(*server) bool) {
+		want := slices.DeleteFunc(slices.Clone(b.servers), func(s *server) bool { return !belongs(s) })
+		if !slices.Equal(set, want) {
+			w.t.Fatalf("%s: %d servers, want %d in the list's order", name, len(set), len(want))
+		}
+	}
+	same("ejected", b.ejected, func(s *server) bool { return s.state > Unknown })
+	same("busy", b.busy, func(s *server) bool { return len(s.out) > 0 })
+	fresh, known := 0.0, b.warmEpoch == b.epoch && !b.warmStale
+	for _, s := range b.servers {
+		if b.ramp(s) < 1 && !slices.Contains(b.cold, s) {
+			w.t.Fatalf("%v is cold and not among the cold ones", s.id)
+		}
+		if s.usable && s.state <= Unknown && b.ramp(s) == 1 {
+			fresh += s.weight
+		}
+	}
+	for _, s := range b.cold {
+		if b.byAddr[s.id] != s {
+			w.t.Fatalf("%v is cold and no longer listed", s.id)
+		}
+		known = known && b.ramp(s) != 1
+	}
+	if known && b.warm != fresh {
+		w.t.Fatalf("warm weight %v, counted anew %v", b.warm, fresh)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 )
@@ -12,12 +13,14 @@
 type server struct {
 	id        Addr
 	hash      uint64
+	order     uint64 // its place among the servers, in an order of this agent's own
 	zone      int
 	cell      int
 	kind      int
 	weight    float64
 	listedAt  float64 // start of its process by the list
 	startedAt float64 // the same, or later where a restart is assumed
+	cold      bool    // in the Balancer's cold ones
 	usable    bool    // listed as ready
 	state     State
 	since     float64 // when the state was entered
@@ -117,7 +120,10 @@
 	rng        *rand.Rand
 	now        float64
 	out        []Action
-	servers    []*server // by address
+	servers    ordered
+	ejected    ordered   // those of them in a state after Unknown
+	busy       ordered   // with attempts out
+	cold       []*server // that may not have their whole capacity yet
 	byAddr     map[Addr]*server
 	requests   map[RequestID]*request
 	held       []*request
@@ -125,9 +131,10 @@
 	shares     []float64 // scratch of common
 	pasts      []past
 	recentKeys keyCounter
-	warm       float64 // weight of warm servers, at warmAt and warmEpoch
+	warm       float64 // weight of warm servers, as of warmAt and warmEpoch
 	warmAt     float64
 	warmEpoch  uint64
+	warmStale  bool   // some server got cold or warm since
 	epoch      uint64 // counts changes of tiers and list
 	inflight   int
 	stuck      int // of these, on servers that fell silent
@@ -212,6 +219,11 @@
 	if s.state > Unknown || to > Unknown {
 		b.epoch++
 	}
+	if to > Unknown {
+		b.ejected.add(s)
+	} else {
+		b.ejected.remove(s)
+	}
 	s.state, s.since = to, b.now
 }
 
@@ -262,12 +274,17 @@
 }
 
 // warmWeight is the weight of the servers of the top tier that are not cold, counted
-// once for all decisions of a moment.
+// anew only where a tier, the list or who is cold has changed.
 func (b *Balancer) warmWeight() float64 {
 	if b.warmAt == b.now && b.warmEpoch == b.epoch {
 		return b.warm
 	}
-	b.warm, b.warmAt, b.warmEpoch = 0, b.now, b.epoch
+	b.warmUp()
+	if b.warmEpoch == b.epoch && !b.warmStale {
+		b.warmAt = b.now
+		return b.warm
+	}
+	b.warm, b.warmAt, b.warmEpoch, b.warmStale = 0, b.now, b.epoch, false
 	b.visit(b.servers)
 	for _, s := range b.servers {
 		if s.usable && s.state <= Unknown && b.ramp(s) == 1 {
@@ -277,6 +294,54 @@
 	return b.warm
 }
 
+// coolDown notes that a server's start has changed: it may be cold.
+func (b *Balancer) coolDown(s *server) {
+	b.warmStale = true
+	if !s.cold && s.startedAt > 0 {
+		s.cold = true
+		b.cold = append(b.cold, s)
+	}
+}
+
+// warmUp takes those that are warm by now from the cold ones.
+func (b *Balancer) warmUp() {
+	b.visit(b.cold)
+	b.cold = slices.DeleteFunc(b.cold, func(s *server) bool {
+		s.cold = b.ramp(s) != 1
+		b.warmStale = b.warmStale || !s.cold
+		return !s.cold
+	})
+}
+
+// forget drops all that points to a server that is no longer listed, but the list itself.
+func (b *Balancer) forget(s *server) {
+	delete(b.byAddr, s.id)
+	b.ejected.remove(s)
+	b.busy.remove(s)
+	if s.cold {
+		b.cold = slices.DeleteFunc(b.cold, func(o *server) bool { return o == s })
+	}
+}
+
+// ordered is a set of servers in the agent's own order.
+type ordered []*server
+
+func (o ordered) find(s *server) (int, bool) {
+	return slices.BinarySearchFunc(o, s, func(x, y *server) int { return cmp.Compare(x.order, y.order) })
+}
+
+func (o *ordered) add(s *server) {
+	if i, found := o.find(s); !found {
+		*o = slices.Insert(*o, i, s)
+	}
+}
+
+func (o *ordered) remove(s *server) {
+	if i, found := o.find(s); found {
+		*o = slices.Delete(*o, i, i+1)
+	}
+}
+
 // medianFails is the middle one of the usable servers' shares of failures; of one or two
 // servers it tells nothing.
 func (b *Balancer) medianFails() float64 {
