--- a/policy/reconfigure.go
+++ b/policy/reconfigure.go
@@ -29,6 +29,9 @@
 	b.renameTenants(set.Tenants)
 	b.set = set
 	b.renameClasses()
+	for _, s := range b.servers { // another cold time may have begun anew for them
+		b.coolDown(s)
+	}
 	// Counts that fade over a time stand for as much as before.
 	b.recent *= b.rateSpan() / span
 	if coldMs > 0 {
