control: keep the peak of calls through a phase

The most calls of a second at a stand-in were those since the last report: a phase that asked the stand-ins twice, as the cut-off region's, lost them.

--- a/internal/fleet/control/fleet.go
+++ b/internal/fleet/control/fleet.go
@@ -30,6 +30,7 @@
 	events   [][]event // by agent, those since the phase began
 	began    time.Time // the phase
 	lateMs   float64   // the longest that a process waited for a processor in it
+	peak     int64     // the most calls of a second at one stand-in in it
 }
 
 // machine is a stand-in's place: the process there may be killed and replaced.
@@ -220,6 +221,7 @@
 	for _, m := range f.standIns {
 		if m.Process != nil {
 			f.lateMs = max(f.lateMs, m.last.LateMs)
+			f.peak = max(f.peak, m.last.Counts.CallsPeak)
 		}
 	}
 	return nil
@@ -332,7 +334,7 @@
 	for _, m := range f.standIns {
 		m.base = m.last
 	}
-	f.began, f.lateMs = time.Now(), 0
+	f.began, f.lateMs, f.peak = time.Now(), 0, 0
 	return nil
 }
 
@@ -360,7 +362,6 @@
 		n.Lives += m.last.Counts.Lives - m.base.Counts.Lives
 		n.Bytes += m.last.Counts.Bytes - m.base.Counts.Bytes
 		n.BytesRead += m.last.Counts.BytesRead - m.base.Counts.BytesRead
-		n.CallsPeak = max(n.CallsPeak, m.last.Counts.CallsPeak)
 	}
 	bytes := float64(n.Bytes + n.BytesRead)
 	c.Add(prefix+"_took", "s", took)
@@ -375,7 +376,7 @@
 	c.Add(prefix+"_agent_allocated", "bytes", allocated/agents)
 	c.Add(prefix+"_standin_bytes_s", "bytes/s", bytes/standIns/took)
 	c.Add(prefix+"_standin_calls", "count", float64(n.Calls)/standIns)
-	c.Add(prefix+"_standin_calls_peak_s", "count", float64(n.CallsPeak))
+	c.Add(prefix+"_standin_calls_peak_s", "count", float64(f.peak))
 	c.Add(prefix+"_standin_cpu", "ms", standInCPU/standIns)
 	c.Add(prefix+"_standin_cpu_share", "share", standInCPU/1000/standIns/took)
 	return nil
