--- a/policy/service_test.go
+++ b/policy/service_test.go
@@ -109,3 +109,67 @@
 	}
 	return asked, refused, held
 }
+
+// Settings that tell of the listed servers alone are left alone: calm answers of a loaded
+// deployment take a multiple of their work, and a limit that took them for the work itself let
+// out too much when more was asked than the servers could do.
+func TestLimitOfAPlainDeploymentIsItsSettings(t *testing.T) {
+	set := fleetSettings(30)
+	set.Limits.KeepaliveMs = 15000
+	const servers, work = 16, 30.0
+	set.Tenants = []Tenant{{Name: "a", Portion: 1, QuotaPerS: 0.9 * servers * 1000 / work}}
+	r := newRig(t, set, servers)
+	for range 400 {
+		id, s := r.sent(0, r.b.rng.Uint64())
+		r.now += 10
+		r.outcome(id, 0, s, OK, 3.5*work)
+	}
+	want := attemptsPerServer * servers * r.b.rate() / (set.Tenants[0].QuotaPerS / 1000)
+	if got := r.b.limitFloor(); !near(got, max(want, 1)) {
+		t.Errorf("may always have %v out, its part of the settings' is %v", got, want)
+	}
+}
+
+// Below one attempt the limit doubles with each good answer, and late ones take it back to the
+// floor. A list that grows does not multiply what it has grown to.
+func TestLimitStartsSlowly(t *testing.T) {
+	set := fleetSettings(2000)
+	r := newRig(t, set, 12)
+	r.now += 60000 // alone for long: the floor is the settings'
+	limit := func() float64 { return r.b.limitFloor() * r.b.limitScale }
+	answer := func(took float64) {
+		id, s := r.sent(0, r.b.rng.Uint64())
+		r.now += 60000
+		r.outcome(id, 0, s, OK, took)
+	}
+	floor := limit()
+	if floor > 0.02 {
+		t.Fatalf("begins with %v", floor)
+	}
+	for i := range 5 {
+		before := limit()
+		if answer(5); limit() < 1.9*before {
+			t.Fatalf("answer %d: %v after %v", i+1, limit(), before)
+		}
+	}
+	for range 5 {
+		answer(5)
+	}
+	grown := limit()
+	if grown < 1 || grown > 3 {
+		t.Fatalf("%v after ten good answers", grown)
+	}
+	var more []Entry
+	for i := range 2000 {
+		more = append(more, Entry{Server: addr(i), Health: Ready, Weight: 1})
+	}
+	if r.list(ListFull, more...); limit() > max(grown, 2) {
+		t.Errorf("%v with 2,000 servers listed, %v before", limit(), grown)
+	}
+	for range 60 {
+		answer(2 * set.Classes[0].AimMs)
+	}
+	if r.b.limitScale > 1.01 {
+		t.Errorf("%v times the floor after late answers", r.b.limitScale)
+	}
+}
