--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,9 +17,15 @@
 	"time"
 )
 
-// TestMain makes the test binary the program itself when it is started as a child.
+// TestMain makes the test binary the program itself when it is started as a child, with no
+// more descriptors than it is told.
 func TestMain(m *testing.M) {
 	if os.Getenv("MOLEPADDLE_CHILD") == "1" {
+		if most, err := strconv.ParseUint(os.Getenv("MOLEPADDLE_DESCRIPTORS"), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		os.Exit(0)
 	}
@@ -31,7 +38,7 @@
  "replicasOfMe":1,"roundMs":5,"weights":"nominal","failureDomains":["a"],"shapes":["k"]}`
 
 // child starts the program with the configuration and gives the path of its file.
-func child(t *testing.T, config string) (cmd *exec.Cmd, out *output, path string) {
+func child(t *testing.T, config string, env ...string) (cmd *exec.Cmd, out *output, path string) {
 	t.Helper()
 	path = filepath.Join(t.TempDir(), "config.json")
 	write(t, path, config)
@@ -40,7 +47,7 @@
 		t.Fatal(err)
 	}
 	cmd, out = exec.Command(exe), &output{}
-	cmd.Env = append(os.Environ(), "MOLEPADDLE_CHILD=1", "EDGE_CONFIG="+path)
+	cmd.Env = append(append(os.Environ(), "MOLEPADDLE_CHILD=1", "EDGE_CONFIG="+path), env...)
 	cmd.Stderr = out
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -170,6 +177,27 @@
 		t.Fatalf("asked %v", got)
 	}
 	awaitReady(t, listen, out)
+	// What can't change without a restart is named in one line, and nothing of it is in force.
+	hup(wholeConfig("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1"))
+	eventually(t, "a word of what can't change", out, func() bool {
+		return strings.Count(out.String(), "config: listen: can't change without a restart") == 1
+	})
+	awaitReady(t, listen, out)
+	// Other settings are in force without a restart: a class that was unknown is asked.
+	status := func() int {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/another/u1", strings.NewReader("x"))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if got := status(); got != http.StatusNotFound {
+		t.Fatalf("an unknown class is answered %d", got)
+	}
+	hup(strings.Replace(wholeConfig(listen, disc.Listener.Addr().String(), "127.0.0.1:1"), `"name":"order"`, `"name":"another"`, 1))
+	eventually(t, "the new class", out, func() bool { return status() == http.StatusBadRequest }) // it wants an id
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,19 +44,19 @@
 	// failWeight is the weight of an attempt in its server's share of failures, failShare
 	// the least median of these shares with which failures are the fleet's, not a server's.
 	failWeight, failShare = 0.05, 0.01
-	// shareOut is how many attempts for each server all agents together may always have
-	// out: it keeps a server busy and is well under what makes one slower. A good answer
-	// adds boostStep to an agent's part, over those of a round trip; a late one takes up to
-	// boostCut off.
-	shareOut, boostStep, boostCut = 2.0, 0.3, 0.4
+	// attemptsPerServer is how many attempts for each server all agents together may always
+	// have out: it keeps a server busy and is well under what makes one slower. A good answer
+	// adds limitGrowth to an agent's part, over those of a round trip; a late one takes up to
+	// limitCut off.
+	attemptsPerServer, limitGrowth, limitCut = 2.0, 0.3, 0.4
 	// paceStep and fleetStep are the weights of an answer in what its server and the fleet
 	// are held to take, paceFade is how fast an agent forgets the first, in ms: a jammed
 	// server recovers within seconds of rest. paceSlack is how much slower than the fleet a
 	// server may seem by chance, leastPace what the slowest keeps of its weight.
 	paceStep, fleetStep, paceFade, paceSlack, leastPace = 0.5, 0.02, 10000.0, 1.1, 0.02
-	// againShare is how many attempts after the first each answer in time pays for,
-	// againMost what is saved up: enough for a moment in which half the servers vanish.
-	againShare, againMost = 0.5, 20.0
+	// retryRatio is how many attempts after the first each answer in time pays for,
+	// retryBurst what is saved up: enough for a moment in which half the servers vanish.
+	retryRatio, retryBurst = 0.5, 20.0
 	// leastServers is the smallest subset of the fleet an agent sends to.
 	leastServers = 16
 	// maxHeld bounds the requests held for room, and so the work of a decision.
@@ -95,16 +95,13 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
-		home: ownZone, again: againMost, boost: 1, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
+		home: ownZone, retryBudget: retryBurst, limitScale: 1, lookedAt: math.Inf(-1),
 		recentKeys: keyCounter{count: map[uint64]int{}}}
 	for i := range b.kinds {
 		b.kinds[i].weight = 1
 	}
-	for _, c := range set.Classes {
-		b.expect = append(b.expect, c.AimMs*crowdShare/2)
-		b.aimMin = min(b.aimMin, c.AimMs)
-		b.asked, b.won = append(b.asked, 1), append(b.won, 1)
-	}
+	b.classes, b.aimMin = classesOf(&set)
+	b.worst = b.classes[0]
 	return b, nil
 }
 
@@ -176,13 +173,13 @@
 	if b.requests[ev.Request] != nil {
 		return
 	}
-	if ev.Class < 0 || ev.Class >= len(b.set.Classes) {
-		b.end(&request{id: ev.Request}) // still owed an answer; nothing of it ran
+	if ev.Class < 0 || ev.Class >= len(b.classes) {
+		b.end(&request{id: ev.Request, class: &class{}}) // still owed an answer; nothing of it ran
 		return
 	}
-	c := &b.set.Classes[ev.Class]
-	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key,
-		arrived: b.now, first: b.now}
+	c := b.classes[ev.Class]
+	r := &request{id: ev.Request, class: c, tenant: ev.Tenant, key: ev.Key,
+		arrived: b.now, first: b.now, maxAttempts: b.set.Limits.MaxAttempts}
 	if r.hint = finite(ev.HintMs); !ev.HasHint {
 		r.hint = 0
 	} else if r.hint > 0 {
@@ -215,11 +212,11 @@
 // value is the worth that a unit of server time spent on the request earns, by
 // the objective: a part of the whole, and all of the worst class if it is of it.
 func (b *Balancer) value(r *request) float64 {
-	c := &b.set.Classes[r.class]
+	c := r.class
 	o := &b.set.Objective
 	v := c.Credit * (o.Whole + o.WorstWindow)
 	if r.class == b.worst {
-		v += o.WorstClass * b.credit / b.asked[r.class]
+		v += o.WorstClass * b.credit / r.class.asked
 	}
 	if b.now+b.expected(r) > r.aimAt {
 		v *= c.LateShare + b.set.Prices.LateFail
@@ -228,7 +225,7 @@
 		v *= b.set.OverShareWorth
 	}
 	if b.set.WorthBy != "work" {
-		v /= b.expect[r.class]
+		v /= r.class.expect
 	}
 	return v
 }
@@ -236,6 +233,7 @@
 // dispatch sends what is held as far as there is room: the most valuable first,
 // of equals the newest, as under overload the oldest would only end late.
 func (b *Balancer) dispatch() {
+	b.work += uint64(len(b.held))
 	for _, r := range b.held {
 		r.value = b.value(r)
 	}
@@ -245,7 +243,7 @@
 	})
 	// One that waits for its key's servers is passed over; of others a few failures tell.
 	b.scarce = false
-	for i, failures := 0, 0; i < len(b.held) && failures < 4 && b.mayTry(); {
+	for i, failures := 0, 0; i < len(b.held) && failures < 4 && b.underLimit(); {
 		r := b.held[i]
 		if near := r.near; b.waits(r) && near[0] != nil && r.epoch == b.epoch &&
 			!b.takes(near[0], r) && !b.takes(near[1], r) {
@@ -267,21 +265,22 @@
 	}
 }
 
-// mayTry is the agent's part of what the fleet may have out: an adaptive limit on its
+// underLimit is the agent's part of what the fleet may have out: an adaptive limit on its
 // attempts out. What it bounds is the queue in front of the servers, whatever the number
 // of agents and however late they learn. The throttle before it counted failures, and let
 // nothing out until they were forgotten: a whole fleet shut and opened in step, 54 requests
 // were out on 32 servers one second and 490 two seconds before, which tipped them.
-func (b *Balancer) mayTry() bool {
-	out, room := float64(b.inflight-b.stuck), b.share()*b.boost
+func (b *Balancer) underLimit() bool {
+	out, room := float64(b.inflight-b.stuck), b.limitFloor()*b.limitScale
 	return out < max(room, 1) && (room >= 1 || b.now-b.triedAt >= b.meanRTT/room)
 }
 
-// share is the agent's part of shareOut attempts a server: by its part of the traffic that
-// the settings foresee for all agents, an even one where they foresee none. One out at a
-// time does no harm as long as all agents may have one.
-func (b *Balancer) share() float64 {
-	all := shareOut * float64(b.ready)
+// limitFloor is what the limit on attempts never falls below: the agent's part of
+// attemptsPerServer attempts a server, by its part of the traffic that the settings foresee for
+// all agents, an even one where they foresee none. One out at a time does no harm as long as
+// all agents may have one.
+func (b *Balancer) limitFloor() float64 {
+	all := attemptsPerServer * float64(b.ready)
 	even := all / float64(max(b.set.Replicas, 1))
 	rate, quota := b.rate(), 0.0
 	for _, t := range b.set.Tenants {
@@ -294,18 +293,18 @@
 }
 
 // feasible bounds what the settings foresee of all agents, in requests a ms, by what the
-// listed servers answer with shareOut attempts out at each and nothing crowded. In a fleet of
+// listed servers answer with attemptsPerServer out at each and nothing crowded. In a fleet of
 // many services the settings tell of all of them, the list names one service's servers: a
 // part of the whole quota left an agent of a healthy service a hundredth of an attempt, and
 // it refused two calls in three. An agent may so always have out what its own calls take
 // while nothing is crowded (Little's law): of a service asked for x times what it can do, x
-// attempts a server, all agents together, and shareOut where the settings tell of it alone.
+// attempts a server, all agents together, and attemptsPerServer where the settings tell of it alone.
 func (b *Balancer) feasible(rate float64) float64 {
 	calm := b.calmLat * b.meanAim
 	if calm <= 0 || b.ready == 0 {
 		return rate // nothing was measured yet, or nobody can answer
 	}
-	return min(rate, shareOut*float64(b.ready)/calm)
+	return min(rate, attemptsPerServer*float64(b.ready)/calm)
 }
 
 // rateSpan is the time over which requests are counted, in ms: that for which a connection
@@ -325,8 +324,8 @@
 // down the more the later one is, or if it is turned away or left by its client. Errors
 // and broken connections tell nothing of queues.
 func (b *Balancer) adapt(a *attempt, st Status, rtt float64) {
-	room := max(b.share()*b.boost, 1)
-	over := min(max(rtt/b.set.Classes[a.r.class].AimMs-crowdShare, 0), 1)
+	room := max(b.limitFloor()*b.limitScale, 1)
+	over := min(max(rtt/a.r.class.AimMs-crowdShare, 0), 1)
 	if st == Full {
 		over = 1
 	}
@@ -335,21 +334,22 @@
 	}
 	switch {
 	case over > 0 && (st == OK || st == Full || st == Cancelled && !a.called || st == Timeout && !a.s.silent):
-		b.boost = max(b.boost*(1-boostCut*over), 1)
+		b.limitScale = max(b.limitScale*(1-limitCut*over), 1)
 	case st == OK:
-		b.again = min(b.again+againShare, againMost)
+		b.retryBudget = min(b.retryBudget+retryRatio, retryBurst)
 		if float64(2*(b.inflight+1)) >= room {
-			b.boost += boostStep / (b.boost * room)
+			b.limitScale += limitGrowth / (b.limitScale * room)
 		}
 	}
 }
 
 // expire ends held requests that can no longer earn anything, before they cost work.
 func (b *Balancer) expire() {
+	b.work += uint64(len(b.held))
 	for i := 0; i < len(b.held); {
 		r := b.held[i]
 		last := r.aimAt
-		if b.set.Classes[r.class].LateShare > 0 {
+		if r.class.LateShare > 0 {
 			last = r.deadline
 		}
 		if b.now+b.expected(r) > last || b.now >= r.deadline {
@@ -362,7 +362,7 @@
 
 // expected is how long an answer to the request takes, on the mean.
 func (b *Balancer) expected(r *request) float64 {
-	e := b.expect[r.class]
+	e := r.class.expect
 	if t := b.hintedTime(r); t > 0 {
 		e = max(t, e/4)
 	}
@@ -378,7 +378,7 @@
 		return 2
 	case UnhealthyPending:
 		// What must not run twice does not check a server while others are healthy.
-		once := b.set.Classes[r.class].Effect == SingleShot
+		once := r.class.Effect == SingleShot
 		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
 			return 1
 		}
@@ -391,10 +391,11 @@
 func (b *Balancer) pick(r *request) *server {
 	waits, subset := b.waits(r), b.subset()
 	for rank := range 3 {
-		tier, n := b.tier[:0], 0
+		tier, n, seen := b.tier[:0], 0, 0
 		r.tierWeight = 0
 		var near [keyServers]*server
 		for _, s := range b.servers {
+			seen++
 			if b.rank(s, r) != rank || !b.maySend(r, s) {
 				continue
 			}
@@ -414,6 +415,7 @@
 			}
 		}
 		b.tier = tier
+		b.work += uint64(seen)
 		if r.tierWeight == 0 {
 			continue // an empty tier passes down
 		}
@@ -524,9 +526,20 @@
 	if len(s.out) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
 		return false
 	}
-	return b.ramp(s) == 1 || s.credit >= b.cost(r) ||
-		b.warmWeight() == 0 && (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >=
-			b.cost(r)*b.set.Contract.ColdMs
+	if b.ramp(s) == 1 || s.credit >= b.cost(r) {
+		return true
+	}
+	if b.warmWeight() > 0 {
+		return false
+	}
+	if b.flow > 0 {
+		return (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >= b.cost(r)*b.set.Contract.ColdMs
+	}
+	// It never met a warm server, so nothing tells what a cold one may be sent: no more than
+	// it answers, as one attempt of this agent at a time waits there and the limit bounds them
+	// all. Until the first answer they are paced by the aim, or all agents would go on
+	// calling what can't answer.
+	return len(s.out) == 0 && (b.answers > 0 || b.now-b.triedAt >= b.aimMin/min(b.limitFloor(), 1))
 }
 
 // ramp is the part of its capacity that a started server has by the contract.
@@ -563,7 +576,7 @@
 // hasRoom, whose credit every attempt is charged in send.
 func (b *Balancer) maySend(r *request, s *server) bool {
 	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
-		len(r.attempts) >= b.set.Limits.MaxAttempts {
+		len(r.attempts) >= r.maxAttempts {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -574,7 +587,7 @@
 	if r.risky == 0 {
 		return true
 	}
-	c := &b.set.Classes[r.class]
+	c := r.class
 	switch c.Effect {
 	case Free:
 		return true
@@ -590,7 +603,7 @@
 
 // repeatWithin is for how long a keyed request that may have run may still be sent again.
 func (b *Balancer) repeatWithin(r *request) float64 {
-	return r.ranAt + b.set.Classes[r.class].KeyTTLMs - 2*b.set.RoundMs - b.now
+	return r.ranAt + r.class.KeyTTLMs - 2*b.set.RoundMs - b.now
 }
 
 func (b *Balancer) send(r *request, s *server) bool {
@@ -603,7 +616,7 @@
 	within := 0.0
 	if r.risky == 0 {
 		r.ranAt, r.ranOn = b.now, s
-	} else if b.set.Classes[r.class].Effect == Guarded {
+	} else if r.class.Effect == Guarded {
 		within = b.repeatWithin(r)
 	}
 	r.risky++
@@ -633,6 +646,7 @@
 		b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
 		b.flowAt = b.now
 	}
+	b.visit(b.servers)
 	for _, o := range b.servers {
 		if b.ramp(o) < 1 && warm > 0 {
 			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
@@ -647,7 +661,7 @@
 		return
 	}
 	b.remember(r)
-	c := &b.set.Classes[r.class]
+	c := r.class
 	harmless := r.risky == 0 || c.Effect == Free || c.Effect == Guarded && c.Group == GroupAll
 	b.close(r)
 	if harmless {
@@ -722,18 +736,18 @@
 // the load: with a request or two out at each of a thousand agents no window holds back
 // what all send on together (i86bcad).
 func (b *Balancer) further(r *request, why Status) {
-	c := &b.set.Classes[r.class]
+	c := r.class
 	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
 	price := 1.0
 	if why == ConnectFailed {
 		price = 0 // no server was asked for anything
 	}
-	spent := b.again < price || len(r.attempts) >= b.set.Limits.MaxAttempts
+	spent := b.retryBudget < price || len(r.attempts) >= r.maxAttempts
 	if !able || spent || why == Moot || b.now >= r.deadline {
 		b.end(r)
 		return
 	}
-	b.again -= price
+	b.retryBudget -= price
 	b.held = append(b.held, r)
 }
 
@@ -783,10 +797,10 @@
 	b.learnHint(r, rtt)
 	b.heardFrom(s)
 	s.rtt = mean(s.rtt, rtt, smooth)
-	c := &b.set.Classes[r.class]
-	b.expect[r.class] = mean(b.expect[r.class], min(rtt, 2*c.AimMs), 4*slowSmooth)
+	c := r.class
+	r.class.expect = mean(r.class.expect, min(rtt, 2*c.AimMs), 4*slowSmooth)
 	if b.now <= r.aimAt {
-		b.won[r.class] += 1 - fade
+		r.class.won += 1 - fade
 	}
 	x := b.partOfAim(r, rtt)
 	b.answers++
@@ -892,7 +906,7 @@
 // partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
 // request counts as one of mean work; a small one's time is mostly the network's.
 func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
-	x := rtt / b.set.Classes[r.class].AimMs
+	x := rtt / r.class.AimMs
 	if r.hint > 0 {
 		x *= min(b.meanHint/r.hint, 1)
 	}
@@ -967,6 +981,7 @@
 // watchSilence demotes servers that took attempts and have answered nothing for
 // several answer times: hung or gone silent, they would stay Connected.
 func (b *Balancer) watchSilence() {
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		silent := func(a *attempt, times float64) bool {
 			return b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*times
@@ -990,7 +1005,7 @@
 // when it can no longer earn anything, as those do that are held. The limit lets go only when
 // it is sure: crowded servers seem silent for a while too, and need the limit most.
 func (b *Balancer) release(a *attempt, sure bool) {
-	r, c := a.r, &b.set.Classes[a.r.class]
+	r, c := a.r, a.r.class
 	if sure && !a.stuck {
 		a.stuck = true
 		b.stuck++
@@ -1001,7 +1016,7 @@
 	case c.LateShare == 0 && b.now >= r.aimAt:
 		a.called = true
 		b.end(r)
-	case again && b.set.Limits.Cancelling && len(r.attempts) < b.set.Limits.MaxAttempts && b.again >= 1 &&
+	case again && b.set.Limits.Cancelling && len(r.attempts) < r.maxAttempts && b.retryBudget >= 1 &&
 		b.now+b.expected(r) < r.aimAt:
 		a.called = true
 		b.do(Action{Kind: ActCancel, Request: r.id, Attempt: a.index})
@@ -1011,6 +1026,7 @@
 // revalidate, on each request, refreshes servers that were Unhealthy long enough to
 // pending, to be validated in the background.
 func (b *Balancer) revalidate() {
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		if s.state == Unhealthy && s.usable && len(s.out) == 0 && b.now-s.since >= b.holdFor(s) {
 			b.enter(s, UnhealthyPending)
@@ -1125,11 +1141,13 @@
 		b.update(&ev.Entries[i])
 	}
 	if ev.List != ListDelta {
+		b.visit(b.servers)
 		for _, s := range b.servers {
 			s.usable = s.usable && named[s.id]
 		}
 	}
 	b.ready = 0
+	b.visit(b.servers)
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
 		if s.usable {
 			b.ready++
@@ -1143,6 +1161,7 @@
 }
 
 func (b *Balancer) update(e *Entry) {
+	b.work++
 	s, since := b.byAddr[e.Server], finite(e.SinceMs)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
