--- /dev/null
+++ b/cmd/fleetbench/main.go
@@ -0,0 +1,59 @@
+// Command fleetbench measures what the agent costs and does in a large fleet: the module
+// alone, real agents on sockets, the control side, and the whole fleet in virtual time.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"molepaddle/internal/fleet"
+)
+
+// commands are the subcommands; each has its own file.
+type commands struct {
+	Verbose bool `help:"Say more of what is being done." short:"v"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run is the program; it returns 0, 1 for a run that failed or 2 for arguments that make
+// no sense.
+func run(args []string) int {
+	var cmd commands
+	parser, err := kong.New(&cmd, kong.Name("fleetbench"), kong.UsageOnError(),
+		kong.Description("Measures the agent in a large fleet. Every subcommand writes one JSON result; 'report' makes the tables of docs/CAPACITY.md of them."))
+	if err != nil {
+		panic(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	parsed, err := parser.Parse(args)
+	if err == nil {
+		level := slog.LevelInfo
+		if cmd.Verbose {
+			level = slog.LevelDebug
+		}
+		log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+		parsed.BindTo(ctx, (*context.Context)(nil))
+		err = parsed.Run(log)
+	}
+	var usage *fleet.UsageError
+	var parse *kong.ParseError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage), errors.As(err, &parse):
+		fmt.Fprintln(os.Stderr, "fleetbench:", err)
+		return 2
+	default:
+		fmt.Fprintln(os.Stderr, "fleetbench:", err)
+		return 1
+	}
+}
--- /dev/null
+++ b/internal/fleet/machine.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+)
+
+// Machine is what a result was measured on.
+type Machine struct {
+	CPU      string  `json:"cpu"`
+	Cores    int     `json:"cores"`
+	MemoryGB float64 `json:"memory_gb"`
+	OS       string  `json:"os"`
+	Go       string  `json:"go"`
+}
+
+func machine() Machine {
+	return Machine{CPU: procField("/proc/cpuinfo", "model name"), Cores: runtime.NumCPU(),
+		MemoryGB: float64(MemoryBytes()>>20) / 1024, OS: runtime.GOOS + "/" + runtime.GOARCH, Go: runtime.Version()}
+}
+
+// MemoryBytes is the machine's memory; 0 where it can't be told.
+func MemoryBytes() int64 {
+	kb, _, _ := strings.Cut(procField("/proc/meminfo", "MemTotal"), " ")
+	n, err := strconv.ParseInt(kb, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n << 10
+}
+
+// CheckMemory refuses a run that would need over half of the machine's memory.
+func CheckMemory(arg string, bytes float64) error {
+	if all := MemoryBytes(); all > 0 && bytes > float64(all)/2 {
+		return Usage(arg, "would need some %.1f GB, over half of the machine's %.1f GB", bytes/(1<<30), float64(all)/(1<<30))
+	}
+	return nil
+}
+
+// procField is the first value of a field in a file of lines of the form 'field : value'.
+func procField(path, field string) string {
+	f, err := os.Open(path)
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		if name, value, ok := strings.Cut(lines.Text(), ":"); ok && strings.TrimSpace(name) == field {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
+
+// commit is the commit of the sources in the current folder, with "+" where they had changes
+// outside the journal and the results; "" outside of a checkout.
+func commit() string {
+	id, err := exec.Command("git", "rev-parse", "--short=12", "HEAD").Output()
+	if err != nil {
+		return ""
+	}
+	text := strings.TrimSpace(string(id))
+	changed, err := exec.Command("git", "status", "--porcelain", "--", ".", ":!journal", ":!bench/results").Output()
+	if err == nil && len(changed) > 0 {
+		text += "+"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/fleet/size.go
@@ -0,0 +1,63 @@
+// Package fleet is the project's own model of the fleets served: how large they are, what
+// is measured of them, and the form of the results.
+package fleet
+
+import "fmt"
+
+// Size is the size of a fleet; every subcommand of the bench takes it. Its tags are those of
+// the command line.
+type Size struct {
+	Agents   int     `json:"agents" help:"Agents, one beside each server's application." default:"2000"`
+	Servers  int     `json:"servers" help:"Bid servers, all services together." default:"2000"`
+	Services int     `json:"services" help:"Services that the servers are divided among, unevenly." default:"160"`
+	Regions  int     `json:"regions" help:"Regions." default:"3"`
+	Zones    int     `json:"zones" help:"Zones, all regions together." default:"9"`
+	Rate     float64 `json:"rate" help:"Calls a second, the whole fleet." default:"220000"`
+	Depth    int     `json:"depth" help:"Hops of the deepest call." default:"10"`
+	Seed     uint64  `json:"seed" help:"Seed of all random draws." default:"1"`
+}
+
+// MaxProcesses is how many processes a run may start at most.
+const MaxProcesses = 300
+
+// Bounds of what a size may ask for: far above the fleet that is planned for.
+const (
+	maxCount = 100_000
+	maxRate  = 1e8
+	maxDepth = 100
+)
+
+// Target is the fleet that the system has to carry in two years.
+func Target() Size {
+	return Size{Agents: 2000, Servers: 2000, Services: 160, Regions: 3, Zones: 9, Rate: 220000, Depth: 10, Seed: 1}
+}
+
+// UsageError is an argument that makes no sense. The bench ends with one line and exit 2.
+type UsageError struct{ Arg, Why string }
+
+func (e *UsageError) Error() string { return fmt.Sprintf("--%s: %s", e.Arg, e.Why) }
+
+// Usage makes a UsageError.
+func Usage(arg, format string, args ...any) error {
+	return &UsageError{arg, fmt.Sprintf(format, args...)}
+}
+
+// Validate reports the first figure that makes no sense, by its argument.
+func (s Size) Validate() error {
+	for _, f := range []struct {
+		arg   string
+		value int
+		most  int
+	}{
+		{"agents", s.Agents, maxCount}, {"servers", s.Servers, maxCount}, {"services", s.Services, s.Servers},
+		{"zones", s.Zones, s.Servers}, {"regions", s.Regions, s.Zones}, {"depth", s.Depth, maxDepth},
+	} {
+		if f.value < 1 || f.value > f.most {
+			return Usage(f.arg, "must be from 1 to %d, is %d", f.most, f.value)
+		}
+	}
+	if !(s.Rate > 0) || s.Rate > maxRate {
+		return Usage("rate", "must be above 0 and at most %g, is %v", maxRate, s.Rate)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/size_test.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"errors"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// A size that makes no sense is named by its argument.
+func TestSizesThatMakeNoSenseAreNamed(t *testing.T) {
+	if err := Target().Validate(); err != nil {
+		t.Fatal(err)
+	}
+	for arg, spoil := range map[string]func(*Size){
+		"agents":   func(s *Size) { s.Agents = 0 },
+		"servers":  func(s *Size) { s.Servers = maxCount + 1 },
+		"services": func(s *Size) { s.Services = s.Servers + 1 },
+		"regions":  func(s *Size) { s.Regions = s.Zones + 1 },
+		"zones":    func(s *Size) { s.Zones = -1 },
+		"rate":     func(s *Size) { s.Rate = math.NaN() },
+		"depth":    func(s *Size) { s.Depth = 0 },
+	} {
+		s := Target()
+		spoil(&s)
+		var usage *UsageError
+		if err := s.Validate(); !errors.As(err, &usage) || usage.Arg != arg {
+			t.Errorf("%s: %v", arg, err)
+		}
+	}
+}
+
+// What is not a finished result of this bench is refused.
+func TestForeignAndUnfinishedResultsAreRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "r.json")
+	r := NewResult("decide", nil, Target())
+	r.Cases = []Case{{Name: "a", Figures: []Figure{{"work", "count", 1}}}}
+	if err := r.Save(path, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := LoadResult(path); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Save(path, errors.New("port in use")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := LoadResult(path); err == nil || !strings.Contains(err.Error(), "port in use") {
+		t.Errorf("unfinished: %v", err)
+	}
+	if err := os.WriteFile(path, []byte(`{"form":"other","finished":true}`), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := LoadResult(path); err == nil {
+		t.Error("a foreign result was taken")
+	}
+}
+
+// The line through points of a line foretells the target; fewer than four sizes are no slope.
+func TestFitForetellsTheTarget(t *testing.T) {
+	var cases []Case
+	for _, n := range []float64{1, 2, 4, 8, 16} {
+		c := Case{Name: "n", Params: map[string]float64{"servers": n}}
+		c.Add("work", "count", 3+2*n)
+		cases = append(cases, c)
+	}
+	f, err := FitLine(cases, "work", "servers", 16)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if math.Abs(f.AtTarget-35) > 1e-9 || f.Measured == nil || *f.Measured != 35 || len(f.Sizes) != 4 || f.Residual > 1e-9 {
+		t.Errorf("%+v", f)
+	}
+	if _, err := FitLine(cases[:3], "work", "servers", 16); err == nil {
+		t.Error("three sizes made a slope")
+	}
+}
