--- a/cmd/fleetbench/main.go
+++ b/cmd/fleetbench/main.go
@@ -19,6 +19,8 @@
 // commands are the subcommands; each has its own file.
 type commands struct {
 	Verbose bool `help:"Say more of what is being done." short:"v"`
+
+	Decide decideCmd `cmd:"" help:"Measure the decision module alone: time and bytes for each event."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- /dev/null
+++ b/internal/fleet/decide/player.go
@@ -0,0 +1,304 @@
+package decide
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"molepaddle/policy"
+)
+
+const (
+	began     = 1e6 // virtual time at which a play begins, in ms
+	answerMs  = 5.0 // until an answer
+	refusalMs = 1.0 // until a probe's answer, or a connect that is refused
+	keys      = 1000
+	coldAge   = 1000.0 // of cold servers as they are listed, in ms
+	// coldFor is the cold time where some servers are cold: they stay so while they are measured.
+	coldFor = 3.6e6
+)
+
+// Shares of the requests by class and by tenant.
+var classShares, tenantShares = []float64{0.7, 0.2, 0.1}, []float64{0.6, 0.25, 0.15}
+
+// load is what one balancer is played with.
+type load struct {
+	servers   int     // listed
+	replicas  int     // agents of the fleet
+	perAgent  float64 // requests a second of each
+	held      int     // requests kept waiting, where answers come no faster than perAgent; 0: an easy load
+	cold      float64 // share of the servers that started just now
+	unhealthy float64 // share that refuses connections
+	zones     int
+	seed      uint64
+}
+
+// settings are those of a deployment with a class of each effect and three tenants, whose
+// quotas are what all agents send.
+func (l load) settings() policy.Settings {
+	s := policy.Settings{
+		Classes: []policy.Class{
+			{Name: "read", AimMs: 600, GiveUpMs: 2500, Effect: policy.Free, Credit: 1},
+			{Name: "save", AimMs: 1500, GiveUpMs: 6000, Effect: policy.Guarded, Group: policy.GroupCell,
+				KeyTTLMs: 4000, Credit: 2},
+			{Name: "submit", AimMs: 1500, GiveUpMs: 6000, Effect: policy.SingleShot, Credit: 5},
+		},
+		Limits: policy.Limits{Cancelling: true, Probing: true, MaxAttempts: 5, MaxRetryAfterMs: 2000,
+			ConnectTimeoutMs: 250, KeepaliveMs: 15000},
+		Contract: policy.Contract{AnswerSlackMs: 5, AskWithinMs: 10000, ColdFrom: 0.3, ColdMs: 7000,
+			DrainGraceMs: 1500, FallMultiple: 3, TipAfterMs: 1000},
+		Prices:     policy.Prices{CrossZone: 0.03, Handshake: 0.08, Probe: 0.04, LateFail: 0.03, Waste: 0.1},
+		Objective:  policy.Objective{Whole: 0.55, WorstWindow: 0.15, WorstClass: 0.2, WorstTenant: 0.1},
+		Membership: policy.Pushed, Replicas: l.replicas, RoundMs: 1, Weights: "off", WorthBy: "request",
+		OverShareWorth: 0.2,
+	}
+	for i, portion := range tenantShares {
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: fmt.Sprintf("tenant-%d", i+1), Portion: portion,
+			QuotaPerS: portion * l.perAgent * float64(l.replicas)})
+	}
+	if l.cold > 0 {
+		s.Contract.ColdMs = coldFor
+	}
+	return s
+}
+
+// player drives one balancer through virtual time: it sends requests, answers attempts and
+// probes, and fires timers. All that is random comes from the seed.
+type player struct {
+	load
+	set     policy.Settings
+	b       *policy.Balancer
+	rng     *rand.Rand
+	now     float64
+	nextMs  float64 // time of the next request of an easy load
+	freeMs  float64 // when the next answer can come, where requests are held
+	due     dueEvents
+	order   int
+	actions []policy.Action
+	entries []policy.Entry
+	named   int // servers named so far
+	refuses map[policy.Addr]bool
+	untried map[policy.Addr]bool // of these
+	open    map[policy.RequestID]*request
+	last    policy.RequestID
+	waiting int // requests that the balancer holds
+	meter   *meter
+	tally   tally
+}
+
+// request is one that is not yet answered.
+type request struct {
+	cameMs   float64
+	attempts int
+	held     bool
+}
+
+// tally counts what became of the requests.
+type tally struct {
+	requests, served, refused, attempts int
+	waits                               []float64 // from a request to its first attempt, in ms
+}
+
+// dueEvent is an event that is to come.
+type dueEvent struct {
+	at    float64
+	order int
+	kind  eventKind
+	event policy.Event
+}
+
+type dueEvents []dueEvent
+
+func (d dueEvents) Len() int { return len(d) }
+func (d dueEvents) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].order < d[j].order
+}
+func (d dueEvents) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *dueEvents) Push(x any)   { *d = append(*d, x.(dueEvent)) }
+func (d *dueEvents) Pop() any {
+	old := *d
+	x := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return x
+}
+
+// newPlayer starts a balancer and tells it the list. Servers that refuse are listed alone
+// first, until all of them have been tried: their share is known before anything is measured.
+func newPlayer(l load) (*player, error) {
+	p := &player{load: l, rng: rand.New(rand.NewPCG(l.seed, uint64(l.servers))), now: began, nextMs: began,
+		set: l.settings(), meter: &meter{}, refuses: map[policy.Addr]bool{},
+		untried: map[policy.Addr]bool{}, open: map[policy.RequestID]*request{}}
+	bad := int(l.unhealthy * float64(l.servers))
+	for i := range l.servers {
+		p.entries = append(p.entries, p.entry())
+		if i < bad {
+			p.refuses[p.entries[i].Server], p.untried[p.entries[i].Server] = true, true
+		}
+	}
+	for i := range int(l.cold * float64(l.servers)) {
+		p.entries[bad+i].SinceMs = began - coldAge
+	}
+	var err error
+	if p.b, err = policy.New(p.set, l.seed); err != nil {
+		return nil, fmt.Errorf("decide: %w", err)
+	}
+	p.carryOut(p.b.Start(p.now, nil))
+	if bad > 0 {
+		p.list(policy.ListFull, p.entries[:bad], wholeList)
+		for i := 0; len(p.untried) > 0 && i < 20*bad; i++ {
+			p.request()
+			for until := p.now + refusalMs; len(p.due) > 0 && p.due[0].at <= until; {
+				p.deliver()
+			}
+		}
+	}
+	p.nextMs = p.now
+	p.list(policy.ListFull, p.entries, wholeList)
+	return p, nil
+}
+
+// entry is one of a server that is not named yet.
+func (p *player) entry() policy.Entry {
+	i := p.named
+	p.named++
+	return policy.Entry{Server: policy.Addr{10, byte(i >> 16), byte(i >> 8), byte(i), 0x1f, 0x90},
+		Zone: i % max(p.zones, 1), Cell: i / 8, Health: policy.Ready, Weight: 1}
+}
+
+// play goes on until n more requests came.
+func (p *player) play(n int) {
+	for end := p.last + policy.RequestID(n); p.last < end; {
+		p.step()
+	}
+}
+
+// step plays what comes next.
+func (p *player) step() {
+	if p.held > 0 && p.waiting < p.held {
+		p.request()
+		return
+	}
+	if p.held == 0 && (len(p.due) == 0 || p.nextMs <= p.due[0].at) {
+		p.now = p.nextMs
+		p.nextMs += p.rng.ExpFloat64() * 1000 / p.perAgent
+		p.request()
+		return
+	}
+	p.deliver()
+}
+
+// deliver plays the first of the events that are due.
+func (p *player) deliver() {
+	d := heap.Pop(&p.due).(dueEvent)
+	p.now = d.at
+	if d.kind == outcome && d.event.Kind == policy.EvOutcome {
+		// An answer crosses its cancelling, and may come after its request was given up.
+		if r := p.open[d.event.Request]; r != nil && d.event.Final {
+			p.tally.served++
+			delete(p.open, d.event.Request)
+		} else if r != nil {
+			r.held = true // until the balancer says otherwise
+			p.waiting++
+		}
+	}
+	p.handle(d.kind, &d.event)
+}
+
+func (p *player) request() {
+	p.last++
+	class, tenant := p.draw(classShares), p.draw(tenantShares)
+	p.open[p.last] = &request{cameMs: p.now, held: true}
+	p.waiting++
+	p.tally.requests++
+	p.handle(newRequest, &policy.Event{Kind: policy.EvRequest, Request: p.last, Class: class, Tenant: tenant,
+		Key: 1 + p.rng.Uint64N(keys), LeftMs: p.set.Classes[class].GiveUpMs})
+}
+
+// draw picks by shares that add up to one.
+func (p *player) draw(shares []float64) int {
+	x := p.rng.Float64()
+	for i, share := range shares {
+		if x -= share; x < 0 {
+			return i
+		}
+	}
+	return len(shares) - 1
+}
+
+func (p *player) list(kind policy.ListKind, entries []policy.Entry, as eventKind) {
+	p.handle(as, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+}
+
+// replace takes the oldest server off the list and adds a new one: two deltas.
+func (p *player) replace() {
+	old := p.entries[0]
+	old.Health = policy.Gone
+	p.entries = append(slices.Delete(p.entries, 0, 1), p.entry())
+	p.list(policy.ListDelta, []policy.Entry{old}, delta)
+	p.list(policy.ListDelta, p.entries[len(p.entries)-1:], delta)
+}
+
+func (p *player) handle(kind eventKind, ev *policy.Event) {
+	p.carryOut(p.meter.handle(p.b, p.now, kind, ev, p.actions[:0]))
+}
+
+// carryOut does what the balancer asks for.
+func (p *player) carryOut(actions []policy.Action) {
+	p.actions = actions
+	for i := range actions {
+		a := &actions[i]
+		r := p.open[a.Request]
+		switch a.Kind {
+		case policy.ActSend:
+			p.tally.attempts++
+			if r.attempts++; r.attempts == 1 {
+				p.tally.waits = append(p.tally.waits, p.now-r.cameMs)
+			}
+			r.held = false
+			p.waiting--
+			p.answer(a, r.attempts-1)
+		case policy.ActRefuse, policy.ActFail:
+			if r == nil {
+				continue
+			}
+			p.tally.refused++
+			if r.held {
+				p.waiting--
+			}
+			delete(p.open, a.Request)
+		case policy.ActProbe:
+			status := policy.OK
+			if p.refuses[a.Server] {
+				status = policy.ConnectFailed
+			}
+			p.after(refusalMs, outcome, policy.Event{Kind: policy.EvProbed, Server: a.Server, Status: status,
+				LatencyMs: refusalMs})
+		case policy.ActTimer:
+			p.after(a.Ms, tick, policy.Event{Kind: policy.EvTimer, Token: a.Token})
+		}
+	}
+}
+
+// answer has an attempt end: at once where its server refuses, after answerMs where servers
+// are idle, and as fast as they serve where requests are held.
+func (p *player) answer(a *policy.Action, attempt int) {
+	ev := policy.Event{Kind: policy.EvOutcome, Request: a.Request, Attempt: attempt, Server: a.Server}
+	if p.refuses[a.Server] {
+		delete(p.untried, a.Server)
+		ev.Status, ev.LatencyMs = policy.ConnectFailed, refusalMs
+		p.after(refusalMs, outcome, ev)
+		return
+	}
+	ev.Status, ev.Final, ev.LatencyMs = policy.OK, true, answerMs
+	if p.held > 0 {
+		p.freeMs = max(p.freeMs+1000/p.perAgent, p.now+answerMs)
+		ev.LatencyMs = p.freeMs - p.now
+	}
+	p.after(ev.LatencyMs, outcome, ev)
+}
+
+func (p *player) after(ms float64, kind eventKind, ev policy.Event) {
+	p.order++
+	heap.Push(&p.due, dueEvent{p.now + ms, p.order, kind, ev})
+}
