--- a/cmd/fleetbench/main.go
+++ b/cmd/fleetbench/main.go
@@ -21,6 +21,7 @@
 	Verbose bool `help:"Say more of what is being done." short:"v"`
 
 	Decide decideCmd `cmd:"" help:"Measure the decision module alone: time and bytes for each event."`
+	Report reportCmd `cmd:"" help:"Write the tables of the capacity page from the results."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- /dev/null
+++ b/cmd/fleetbench/report.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+
+	"molepaddle/internal/fleet"
+)
+
+// reportCmd writes the generated tables of the capacity page.
+type reportCmd struct {
+	Page    string `help:"The page." default:"docs/CAPACITY.md"`
+	Results string `help:"Folder of the results." default:"bench/results"`
+	Check   bool   `help:"Write nothing; exit 1 if the page's tables are not those of the results."`
+}
+
+// Help is the long text of --help.
+func (*reportCmd) Help() string {
+	return `The page's lines '<!-- fleetbench:NAME -->' and '<!-- /fleetbench -->' hold the tables of the result NAME.json.
+What is between them is made anew, the rest stays. An unfinished or foreign result, or a section without its result,
+ends with one line that names it, and nothing is written.
+
+Run it from the root of the repository.`
+}
+
+// Run writes or checks the page.
+func (c *reportCmd) Run(_ context.Context, log *slog.Logger) error {
+	results, err := fleet.LoadResults(c.Results)
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(c.Page)
+	if err != nil {
+		return fmt.Errorf("page: %w", err)
+	}
+	page, sections, err := fleet.RenderPage(string(text), results)
+	if err != nil {
+		return fmt.Errorf("page %s: %w", c.Page, err)
+	}
+	for name := range results {
+		if !slices.Contains(sections, name) {
+			log.Warn("no section on the page", "result", name)
+		}
+	}
+	switch {
+	case page == string(text):
+		log.Info("the page is that of the results", "page", c.Page, "sections", strings.Join(sections, " "))
+	case c.Check:
+		return fmt.Errorf("page %s: its tables are not those of the results: run 'fleetbench report'", c.Page)
+	default:
+		if err := os.WriteFile(c.Page, []byte(page), 0o644); err != nil {
+			return fmt.Errorf("page: %w", err)
+		}
+		log.Info("wrote the tables", "page", c.Page, "sections", strings.Join(sections, " "))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/page.go
@@ -0,0 +1,268 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// A page holds the generated tables of a result between two lines: the first names the
+// result's file in the folder of results, without '.json'.
+const (
+	sectionStart = "<!-- fleetbench:"
+	sectionEnd   = "<!-- /fleetbench -->"
+)
+
+var startLine = regexp.MustCompile(`^<!-- fleetbench:([a-z0-9][a-z0-9-]*) -->$`)
+
+// differs is from which part a line's value at the target and the measured one are flagged.
+const differs = 0.25
+
+// LoadResults reads the results of a folder, by their files' names without '.json'. One that
+// is unfinished or foreign is an error that names its file. A folder that isn't there is empty.
+func LoadResults(dir string) (map[string]*Result, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, fmt.Errorf("results: %w", err)
+	}
+	results := map[string]*Result{}
+	for _, path := range files {
+		r, err := LoadResult(path)
+		if err != nil {
+			return nil, err
+		}
+		results[strings.TrimSuffix(filepath.Base(path), ".json")] = r
+	}
+	return results, nil
+}
+
+// RenderPage returns the page with the tables of its sections made anew, and the names of
+// the sections. A section without its result, or without its end, is an error.
+func RenderPage(page string, results map[string]*Result) (string, []string, error) {
+	var out, names []string
+	open := "" // the section that is being replaced
+	for i, line := range strings.Split(page, "\n") {
+		at := func(format string, args ...any) (string, []string, error) {
+			return "", nil, fmt.Errorf("line %d: "+format, append([]any{i + 1}, args...)...)
+		}
+		text := strings.TrimSpace(line)
+		switch {
+		case strings.HasPrefix(text, sectionStart):
+			m := startLine.FindStringSubmatch(text)
+			switch {
+			case m == nil:
+				return at("no marker of a result: %s", text)
+			case open != "":
+				return at("%s begins within %s", m[1], open)
+			case slices.Contains(names, m[1]):
+				return at("%s has two sections", m[1])
+			case results[m[1]] == nil:
+				return at("%s: no such result", m[1])
+			}
+			open = m[1]
+			names = append(names, open)
+			out = append(out, text, "", strings.TrimSpace(results[open].Tables(open+".json")), "")
+		case text == sectionEnd:
+			if open == "" {
+				return at("the end of no section")
+			}
+			open = ""
+			out = append(out, text)
+		case open == "":
+			out = append(out, line)
+		}
+	}
+	if open != "" {
+		return "", nil, fmt.Errorf("%s: the section has no end", open)
+	}
+	return strings.Join(out, "\n"), names, nil
+}
+
+// Tables are the result's tables in Markdown, with the run that gave them under each: one for
+// each set of cases that have the same figures, and one of the fits.
+func (r *Result) Tables(file string) string {
+	var out strings.Builder
+	var sets [][]Case
+	for _, c := range r.Cases {
+		i := slices.IndexFunc(sets, func(set []Case) bool { return sameFigures(set[0].Figures, c.Figures) })
+		if i < 0 {
+			sets = append(sets, []Case{c})
+			continue
+		}
+		sets[i] = append(sets[i], c)
+	}
+	run := r.run(file)
+	for _, set := range sets {
+		out.WriteString(caseTable(set, run))
+	}
+	if len(r.Fits) > 0 {
+		out.WriteString(fitTable(r.Fits, run))
+	}
+	for _, note := range r.Notes {
+		fmt.Fprintf(&out, "- %s\n", cell(note))
+	}
+	return out.String()
+}
+
+// run says in a line which run gave the tables.
+func (r *Result) run(file string) string {
+	call := strings.Join(append([]string{"fleetbench", r.Bench}, r.Args...), " ")
+	commit := r.Commit
+	if commit == "" {
+		commit = "unknown"
+	}
+	s, m := r.Size, r.Machine
+	return fmt.Sprintf("Run: %s, `%s`, commit %s; %d agents, %d servers, %d services, %d regions, %d zones, "+
+		"%s calls a second, depth %d, seed %d; on %s, %d cores, %s GB, %s, %s; %s UTC, %s s.",
+		cell(file), strings.ReplaceAll(cell(call), "`", "'"), cell(commit), s.Agents, s.Servers, s.Services, s.Regions,
+		s.Zones, number(s.Rate), s.Depth, s.Seed, cell(m.CPU), m.Cores, number(m.MemoryGB), cell(m.OS), cell(m.Go),
+		r.Started.UTC().Format("2006-01-02 15:04"), number(r.TookS))
+}
+
+func sameFigures(a, b []Figure) bool {
+	return slices.EqualFunc(a, b, func(x, y Figure) bool { return x.Name == y.Name && x.Unit == y.Unit })
+}
+
+// caseTable has a row for each case and a column for each figure. Parameters that half of
+// the cases share stand under the table, in a row only where it differs.
+func caseTable(cases []Case, run string) string {
+	usual, rest := usualParams(cases)
+	head := []string{"case", "at"}
+	for _, f := range cases[0].Figures {
+		head = append(head, withUnit(f.Name, f.Unit))
+	}
+	var rows [][]string
+	some := false
+	for _, c := range cases {
+		at := c.paramsBut(usual)
+		some = some || at != ""
+		row := []string{c.Name, at}
+		for _, f := range c.Figures {
+			row = append(row, number(f.Value))
+		}
+		rows = append(rows, row)
+	}
+	if !some { // of no use then
+		head = slices.Delete(head, 1, 2)
+		for i := range rows {
+			rows[i] = slices.Delete(rows[i], 1, 2)
+		}
+	}
+	if rest != "" {
+		run = "At " + rest + " where the row says no other. " + run
+	}
+	return table(head, rows) + "\n" + run + "\n\n"
+}
+
+// usualParams are the parameters with the value that at least half of several cases share,
+// and their text.
+func usualParams(cases []Case) (map[string]float64, string) {
+	count := map[string]map[float64]int{}
+	for _, c := range cases {
+		for name, value := range c.Params {
+			if count[name] == nil {
+				count[name] = map[float64]int{}
+			}
+			count[name][value]++
+		}
+	}
+	usual := map[string]float64{}
+	for name, values := range count {
+		for value, n := range values {
+			old, has := usual[name]
+			if n > 1 && 2*n >= len(cases) && (!has || n > values[old] || n == values[old] && value < old) {
+				usual[name] = value
+			}
+		}
+	}
+	return usual, (&Case{Params: usual}).paramsBut(nil)
+}
+
+// paramsBut is the text of the case's parameters that are not the usual ones.
+func (c *Case) paramsBut(usual map[string]float64) string {
+	var parts []string
+	for name, value := range c.Params {
+		if old, has := usual[name]; !has || old != value {
+			parts = append(parts, cell(name)+" "+number(value))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+func fitTable(fits []Fit, run string) string {
+	head := []string{"figure", "over", "sizes", "slope x size + fixed", "residual", "target", "line there", "measured there",
+		"measured / line"}
+	var rows [][]string
+	for _, f := range fits {
+		sizes := "none"
+		if len(f.Sizes) > 0 {
+			sizes = fmt.Sprintf("%d, %s to %s", len(f.Sizes), number(slices.Min(f.Sizes)), number(slices.Max(f.Sizes)))
+		}
+		sign := " + "
+		if f.Fixed < 0 {
+			sign = " - "
+		}
+		measured, ratio := "not run", ""
+		if f.Measured != nil {
+			measured = number(*f.Measured)
+			ratio = "none"
+			if f.AtTarget != 0 {
+				ratio = number(*f.Measured / f.AtTarget)
+			}
+			if math.Abs(*f.Measured-f.AtTarget) > differs*math.Abs(f.AtTarget) {
+				ratio = "**" + ratio + ", differs**"
+			}
+		}
+		rows = append(rows, []string{withUnit(f.Figure, f.Unit), f.Over, sizes,
+			number(f.Slope) + " x " + f.Over + sign + number(math.Abs(f.Fixed)), number(f.Residual), number(f.Target),
+			number(f.AtTarget), measured, ratio})
+	}
+	return table(head, rows) + "\nA residual is the root of the mean squared miss, as a part of the mean. " + run + "\n\n"
+}
+
+// table is a table in Markdown; its first column is text, the others are aligned to the right.
+func table(head []string, rows [][]string) string {
+	var out strings.Builder
+	line := func(cells []string) {
+		out.WriteString("|")
+		for _, text := range cells {
+			out.WriteString(" " + cell(text) + " |")
+		}
+		out.WriteString("\n")
+	}
+	line(head)
+	out.WriteString("| --- |" + strings.Repeat(" ---: |", len(head)-1) + "\n")
+	for _, row := range rows {
+		line(row)
+	}
+	return out.String()
+}
+
+// cell is text that can't end its cell, its line or its section.
+func cell(text string) string {
+	return strings.NewReplacer("|", "/", "\n", " ", "\r", " ", "<!--", "", "-->", "").Replace(text)
+}
+
+func withUnit(name, unit string) string {
+	if unit == "" || unit == "count" {
+		return name
+	}
+	return name + " (" + unit + ")"
+}
+
+// number has three significant digits, or all of a whole number.
+func number(x float64) string {
+	if x == math.Trunc(x) && math.Abs(x) < 1e9 {
+		return strconv.FormatFloat(x, 'f', -1, 64)
+	}
+	rounded, err := strconv.ParseFloat(strconv.FormatFloat(x, 'g', 3, 64), 64)
+	if err != nil || math.Abs(rounded) < 1e-4 || math.Abs(rounded) >= 1e9 {
+		return strconv.FormatFloat(x, 'g', 3, 64)
+	}
+	return strconv.FormatFloat(rounded, 'f', -1, 64)
+}
