--- a/internal/fleet/decide/decide.go
+++ b/internal/fleet/decide/decide.go
@@ -216,6 +216,7 @@
 		}
 		p.p.play(o.Requests)
 	}
+	p.p.tally = tally{} // not the balancer's
 	p.state = inUse() - before
 	return nil
 }
--- a/internal/fleet/page.go
+++ b/internal/fleet/page.go
@@ -102,25 +102,32 @@
 	if len(r.Fits) > 0 {
 		out.WriteString(fitTable(r.Fits, run))
 	}
+	fmt.Fprintf(&out, "%s: %s\n\n", cell(file), r.call())
 	for _, note := range r.Notes {
 		fmt.Fprintf(&out, "- %s\n", cell(note))
 	}
 	return out.String()
 }
 
-// run says in a line which run gave the tables.
+// run says in a line which run gave a table.
 func (r *Result) run(file string) string {
-	call := strings.Join(append([]string{"fleetbench", r.Bench}, r.Args...), " ")
 	commit := r.Commit
 	if commit == "" {
 		commit = "unknown"
 	}
-	s, m := r.Size, r.Machine
-	return fmt.Sprintf("Run: %s, `%s`, commit %s; %d agents, %d servers, %d services, %d regions, %d zones, "+
-		"%s calls a second, depth %d, seed %d; on %s, %d cores, %s GB, %s, %s; %s UTC, %s s.",
-		cell(file), strings.ReplaceAll(cell(call), "`", "'"), cell(commit), s.Agents, s.Servers, s.Services, s.Regions,
-		s.Zones, number(s.Rate), s.Depth, s.Seed, cell(m.CPU), m.Cores, number(m.MemoryGB), cell(m.OS), cell(m.Go),
-		r.Started.UTC().Format("2006-01-02 15:04"), number(r.TookS))
+	m := r.Machine
+	return fmt.Sprintf("Run: %s, commit %s, on %s, %d cores, %s GB, %s, %s; %s UTC, %s s.", cell(file), cell(commit),
+		cell(m.CPU), m.Cores, number(m.MemoryGB), cell(m.OS), cell(m.Go), r.Started.UTC().Format("2006-01-02 15:04"),
+		number(r.TookS))
+}
+
+// call is the run's command with its size.
+func (r *Result) call() string {
+	call := strings.Join(append([]string{"fleetbench", r.Bench}, r.Args...), " ")
+	s := r.Size
+	return fmt.Sprintf("`%s` with %d agents, %d servers, %d services, %d regions, %d zones, %s calls a second, "+
+		"depth %d, seed %d.", strings.ReplaceAll(cell(call), "`", "'"), s.Agents, s.Servers, s.Services, s.Regions,
+		s.Zones, number(s.Rate), s.Depth, s.Seed)
 }
 
 func sameFigures(a, b []Figure) bool {
