--- a/cmd/fleetbench/main.go
+++ b/cmd/fleetbench/main.go
@@ -19,6 +19,9 @@
 // commands are the subcommands; each has its own file.
 type commands struct {
 	Verbose bool `help:"Say more of what is being done." short:"v"`
+
+	Control        controlCmd        `cmd:"" help:"Changes of the list: time until in force, and costs of agents and discovery."`
+	ControlProcess controlProcessCmd `cmd:"" hidden:""`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- /dev/null
+++ b/internal/fleet/control/directory.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"molepaddle/internal/agent"
+)
+
+// errSilent says that a directory tells nothing now.
+var errSilent = errors.New("list: silent")
+
+// maxFrames bounds the texts that a directory keeps for the next reader of the same.
+const maxFrames = 1024
+
+// directory is a list of servers with its versions: the bench's, which is the truth, and
+// each stand-in's copy. Servers that are gone stay in it, as changes have to name them.
+type directory struct {
+	mu      sync.Mutex
+	seq     int64
+	first   int64    // the version that it began with: it can't tell changes since an older one
+	names   []string // in the order in which they came
+	hosts   map[string]*versioned
+	scope   func(host string) int // the scope that a server belongs to; nil: there is one
+	frames  map[frame][]byte      // texts of the version at hand
+	changed chan struct{}         // closed at the next change of version or of silence
+	silent  bool
+	heard   time.Time // when the source last said anything
+}
+
+type versioned struct {
+	agent.Host
+	seq int64 // of its last change
+}
+
+// frame is what a reader needs: the list of its scope since the version that it has.
+type frame struct {
+	scope int
+	since int64
+}
+
+func newDirectory(scope func(string) int) *directory {
+	return &directory{hosts: map[string]*versioned{}, scope: scope, frames: map[frame][]byte{},
+		changed: make(chan struct{}), heard: time.Now()}
+}
+
+// take applies a list, whole or a change, and wakes who waits.
+func (d *directory) take(l *agent.List) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard, d.seq = time.Now(), l.Seq
+	if l.Whole {
+		d.first = l.Seq
+		d.names, d.hosts = nil, map[string]*versioned{}
+	}
+	for _, h := range l.Hosts {
+		v := d.hosts[h.Host]
+		if v == nil {
+			v = &versioned{}
+			d.hosts[h.Host] = v
+			d.names = append(d.names, h.Host)
+		}
+		v.Host, v.seq = h, l.Seq
+	}
+	clear(d.frames)
+	d.wake()
+}
+
+// silence makes the directory tell nothing, or go on.
+func (d *directory) silence(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = on
+	d.wake()
+}
+
+func (d *directory) wake() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// age is how long ago the source last said anything.
+func (d *directory) age() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.heard)
+}
+
+// state is what a reader may know at once.
+func (d *directory) state() (seq int64, silent bool, changed <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seq, d.silent, d.changed
+}
+
+// text gives the line that tells a scope's changes after a version, and the version that it
+// leads to. After a version that the directory never had it is the whole list.
+func (d *directory) text(scope int, since int64) ([]byte, int64, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.silent {
+		return nil, since, errSilent
+	}
+	whole := since < d.first || since > d.seq
+	if whole {
+		since = 0
+	}
+	at := frame{scope, since}
+	if text := d.frames[at]; text != nil {
+		return text, d.seq, nil
+	}
+	l := agent.List{Seq: d.seq, Whole: whole, Hosts: []agent.Host{}}
+	for _, name := range d.names {
+		v := d.hosts[name]
+		mine := d.scope == nil || d.scope(name) == scope
+		if mine && v.seq > since && !(whole && v.Health == "gone") {
+			l.Hosts = append(l.Hosts, v.Host)
+		}
+	}
+	text, err := json.Marshal(l)
+	if err != nil {
+		return nil, 0, fmt.Errorf("list: %w", err)
+	}
+	text = append(text, '\n')
+	if len(d.frames) >= maxFrames {
+		clear(d.frames)
+	}
+	d.frames[at] = text
+	return text, d.seq, nil
+}
--- /dev/null
+++ b/internal/fleet/control/hollow.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+
+	"molepaddle/internal/agent"
+)
+
+// maxEvents bounds what is kept between two reports.
+const maxEvents = 1 << 20
+
+// event tells that a version of the list is in force at an agent.
+type event struct {
+	Agent int   `json:"a"`
+	Seq   int64 `json:"s"`
+	At    int64 `json:"t"` // Unix time in microseconds
+	Whole bool  `json:"w,omitempty"`
+}
+
+// hollows is a process's hollow agents.
+type hollows struct {
+	plan  *Plan
+	ports map[int]int // of an agent's discovery
+	stops map[int]context.CancelFunc
+	log   *slog.Logger
+	group sync.WaitGroup
+
+	mu     sync.Mutex
+	events []event
+	err    error
+}
+
+// handle carries out one command of the bench.
+func (h *hollows) handle(ctx context.Context, cmd *command) (reply, error) {
+	switch cmd.Op {
+	case opOpen:
+		if len(cmd.Ports) != len(cmd.Agents) {
+			return reply{}, errors.New("agents: no port for each")
+		}
+		h.plan, h.ports, h.stops = cmd.Plan, map[int]int{}, map[int]context.CancelFunc{}
+		// What an agent warns of, such as each watch that ends, is the run's purpose.
+		h.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError}))
+		for i, a := range cmd.Agents {
+			h.ports[a] = cmd.Ports[i]
+			late := h.plan.Spread * time.Duration(a) / time.Duration(h.plan.Size.Agents)
+			if err := h.start(ctx, a, late); err != nil {
+				return reply{}, err
+			}
+		}
+		return reply{}, nil
+	case opRestart:
+		for _, a := range cmd.Agents {
+			if h.stops[a] == nil {
+				return reply{}, fmt.Errorf("agent %d: not here", a)
+			}
+			h.stops[a]()
+			if err := h.start(ctx, a, 0); err != nil {
+				return reply{}, err
+			}
+		}
+		return reply{}, nil
+	case opReport:
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		events := h.events
+		h.events = nil
+		return reply{Events: events}, h.err
+	}
+	return reply{}, fmt.Errorf("unknown command %q", cmd.Op)
+}
+
+// start runs an agent that knows of no server yet, a while from now.
+func (h *hollows) start(ctx context.Context, index int, late time.Duration) error {
+	text, err := h.plan.config(index, fmt.Sprintf("127.0.0.1:%d", h.ports[index]))
+	if err != nil {
+		return fmt.Errorf("agent %d: %w", index, err)
+	}
+	conf, err := agent.ParseConfig(text)
+	if err != nil {
+		return fmt.Errorf("agent %d: %w", index, err)
+	}
+	ctx, h.stops[index] = context.WithCancel(ctx)
+	h.group.Add(1)
+	go func() {
+		defer h.group.Done()
+		select {
+		case <-time.After(late):
+		case <-ctx.Done():
+			return
+		}
+		err := agent.RunHollow(ctx, conf, h.log, func(seq int64, whole bool) {
+			if ctx.Err() == nil { // else its process has ended
+				h.learned(event{index, seq, time.Now().UnixMicro(), whole})
+			}
+		})
+		if err != nil {
+			h.fail(fmt.Errorf("agent %d: %w", index, err))
+		}
+	}()
+	return nil
+}
+
+func (h *hollows) learned(e event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.events) >= maxEvents {
+		h.err = errors.New("too many lists between two reports")
+		return
+	}
+	h.events = append(h.events, e)
+}
+
+func (h *hollows) fail(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.err = err
+}
+
+// close ends the agents.
+func (h *hollows) close() {
+	for _, stop := range h.stops {
+		stop()
+	}
+	h.group.Wait()
+}
--- /dev/null
+++ b/internal/fleet/control/plan.go
@@ -0,0 +1,208 @@
+// Package control measures the control side of a large fleet: how long a change of the list
+// of servers takes to be in force at all agents, and what that costs agents and discovery.
+//
+// The agents are hollow: the real watch code and the real module, without clients and
+// without connections to bid servers, some hundreds in a process. Discovery is stand-ins
+// that speak its protocol, one process each. The bench is their source of truth.
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"molepaddle/internal/agent"
+	"molepaddle/internal/fleet"
+	"molepaddle/policy"
+)
+
+// What a list holds of the servers: all of the fleet's, as discovery's protocol has it, or
+// one service's, which it has not.
+const (
+	ScopeFleet   = "fleet"
+	ScopeService = "service"
+)
+
+// Plan is what a run plays.
+type Plan struct {
+	Size       fleet.Size
+	StandIns   int // of discovery, a region
+	Processes  int // for the agents
+	Membership string
+	Scope      string
+	AskWithin  time.Duration // the settings' contract.askWithinMs
+	Spread     time.Duration // over which the agents' starts are spread evenly
+	Changes    int           // of one server each, on the calm fleet
+	Calm       time.Duration // without a change
+	Down       time.Duration // of a killed stand-in, until another is at its address
+	Silent     time.Duration // of all of discovery
+	Cut        time.Duration // of a region
+	CutEvery   time.Duration // between the changes that a cut-off region misses
+	Limit      time.Duration // waited for a version to be in force
+	Sweep      bool          // smaller fleets and lists too, for the slopes
+	Troubles   bool
+}
+
+// What the memory of an agent is taken to be before a run: a fixed part, and what each entry
+// of its list takes with the garbage that stands beside it.
+const (
+	agentBytes, entryBytes = 300 << 10, 1 << 10
+	spareFiles             = 64 // of a process, beside the watches
+)
+
+// Validate reports the first argument that makes no sense or does not fit the machine.
+func (p *Plan) Validate() error {
+	if err := p.Size.Validate(); err != nil {
+		return err
+	}
+	for _, f := range []struct {
+		arg         string
+		value, most int
+	}{{"stand-ins", p.StandIns, 100}, {"processes", p.Processes, 100}, {"changes", p.Changes, 1000}} {
+		if f.value < 1 || f.value > f.most {
+			return fleet.Usage(f.arg, "must be from 1 to %d, is %d", f.most, f.value)
+		}
+	}
+	for _, f := range []struct {
+		arg         string
+		value, most time.Duration
+	}{{"ask-within", p.AskWithin, time.Hour}, {"calm", p.Calm, time.Hour}, {"down", p.Down, time.Hour},
+		{"silent", p.Silent, time.Hour}, {"cut", p.Cut, time.Hour}, {"cut-every", p.CutEvery, time.Hour}, {"limit", p.Limit, time.Hour}} {
+		if f.value <= 0 || f.value > f.most {
+			return fleet.Usage(f.arg, "must be above 0 and at most %v, is %v", f.most, f.value)
+		}
+	}
+	if p.Spread < 0 || p.Spread >= p.Limit {
+		return fleet.Usage("spread", "must be from 0 to less than --limit, is %v", p.Spread)
+	}
+	if p.Membership != policy.OnRequest && p.Membership != policy.Pushed {
+		return fleet.Usage("membership", "must be %s or %s, is %q", policy.OnRequest, policy.Pushed, p.Membership)
+	}
+	if p.Scope != ScopeFleet && p.Scope != ScopeService {
+		return fleet.Usage("scope", "must be %s or %s, is %q", ScopeFleet, ScopeService, p.Scope)
+	}
+	if p.Sweep {
+		least := sweepParts[0]
+		if float64(p.Size.Agents)*least*sweepAgents < 1 {
+			return fleet.Usage("agents", "must be %g or more for the slopes (or --no-sweep), is %d", 1/(least*sweepAgents), p.Size.Agents)
+		}
+		if n := max(p.Size.Services, p.Size.Zones); float64(p.Size.Servers)*least < float64(n) {
+			return fleet.Usage("servers", "must be %g or more for the slopes (or --no-sweep), is %d", float64(n)/least, p.Size.Servers)
+		}
+	}
+	return p.fits()
+}
+
+// fits refuses what would pass the machine's memory, processes or descriptors.
+func (p *Plan) fits() error {
+	size := p.Size
+	if n := p.Processes + p.StandIns*size.Regions; n > fleet.MaxProcesses {
+		return fleet.Usage("stand-ins", "%d processes with those of the agents, at most %d", n, fleet.MaxProcesses)
+	}
+	entries := float64(size.Servers)
+	if p.Scope == ScopeService {
+		entries /= float64(size.Services)
+	}
+	if err := fleet.CheckMemory("agents", float64(size.Agents)*(agentBytes+entryBytes*entries)); err != nil {
+		return err
+	}
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return fmt.Errorf("limit of open files: %w", err)
+	}
+	// A watch that is opened anew may stand beside the one that has ended.
+	watches := 2 * max(ceil(size.Agents, p.Processes), p.agentsOf(0))
+	ports := p.scopes() * p.StandIns * size.Regions
+	if need := max(watches+p.scopes(), ports) + spareFiles; uint64(need) > files.Cur {
+		return fleet.Usage("agents", "would need %d open files in a process, the limit is %d", need, files.Cur)
+	}
+	return nil
+}
+
+func ceil(n, parts int) int { return (n + parts - 1) / parts }
+
+// scopes is how many different lists a stand-in has to tell.
+func (p *Plan) scopes() int {
+	if p.Scope == ScopeService {
+		return p.Size.Services
+	}
+	return 1
+}
+
+func (p *Plan) zoneOf(i int) int      { return i % p.Size.Zones }
+func (p *Plan) regionOf(zone int) int { return zone * p.Size.Regions / p.Size.Zones }
+
+// standInOf is the stand-in whose address an agent's configuration names: one of its region.
+func (p *Plan) standInOf(agent int) int {
+	return p.regionOf(p.zoneOf(agent))*p.StandIns + agent/p.Size.Zones%p.StandIns
+}
+
+// agentsOf counts the agents of a stand-in.
+func (p *Plan) agentsOf(standIn int) int {
+	n := 0
+	for i := range p.Size.Agents {
+		if p.standInOf(i) == standIn {
+			n++
+		}
+	}
+	return n
+}
+
+// services gives each server its service, unevenly: one each, then the first services more.
+func (p *Plan) services() []int {
+	rng := rand.New(rand.NewPCG(p.Size.Seed, 1))
+	sum, until := 0.0, make([]float64, p.Size.Services)
+	for k := range until {
+		sum += 1 / math.Sqrt(float64(k+1))
+		until[k] = sum
+	}
+	of := make([]int, p.Size.Servers)
+	for i := range of {
+		if of[i] = i; i >= p.Size.Services {
+			x := rng.Float64() * sum
+			for of[i] = 0; until[of[i]] < x; of[i]++ {
+			}
+		}
+	}
+	return of
+}
+
+// serverName is a server's name in the list. The agent hashes it.
+func serverName(i int) string { return fmt.Sprintf("s-%08x", uint32(i)*2654435761) }
+
+// hosts is the list at the start. Nobody dials its addresses.
+func (p *Plan) hosts() []agent.Host {
+	hosts := make([]agent.Host, p.Size.Servers)
+	for i := range hosts {
+		hosts[i] = agent.Host{Host: serverName(i), Dial: fmt.Sprintf("127.%d.%d.%d:8081", p.zoneOf(i)+1, i>>8&255, i&255),
+			Site: zoneName(p.zoneOf(i)), Class: "m1", Block: i / 40, Health: "ready", Share: 1}
+	}
+	return hosts
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
+
+// config is the configuration of an agent.
+func (p *Plan) config(index int, discovery string) ([]byte, error) {
+	zones := make([]string, p.Size.Zones)
+	for z := range zones {
+		zones[z] = zoneName(z)
+	}
+	type object map[string]any
+	return json.Marshal(object{
+		"name": fmt.Sprintf("a%d", index), "listen": "127.0.0.1:0", "discovery": discovery,
+		"seed":   fmt.Sprintf("%016x", p.Size.Seed<<32+uint64(index)),
+		"limits": object{"cores": 1, "memory_mb": 32, "sockets": 64},
+		"settings": object{
+			"classes":        []object{{"name": "call", "aimMs": 20, "giveUpMs": 200, "credit": 1, "effect": policy.Free}},
+			"failureDomains": zones, "shapes": []string{"m1"}, "membershipMode": p.Membership,
+			"limits": object{"cancelling": true, "maxAttempts": 3, "connectTimeoutMs": 200, "keepaliveMs": 30000, "maxRetryAfterMs": 600},
+			"contract": object{"askWithinMs": p.AskWithin.Milliseconds(), "coldFrom": 0.3, "coldMs": 8000,
+				"drainGraceMs": 1000, "fallMultiple": 2.5, "tipAfterMs": 1000},
+			"index": index, "replicasOfMe": p.Size.Agents, "roundMs": 5, "weights": "nominal", "zone": p.zoneOf(index),
+		},
+	})
+}
--- /dev/null
+++ b/internal/fleet/control/ports.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
+
+// reservation keeps a port of the loopback for stand-ins that come and go: its socket is
+// bound and does not listen, so that calls are refused while no stand-in is there, and no
+// other socket of the machine gets the port meanwhile.
+type reservation struct{ fd, port int }
+
+func reserve() (reservation, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return reservation{}, fmt.Errorf("port: %w", err)
+	}
+	r := reservation{fd: fd}
+	if err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err == nil {
+		var at syscall.Sockaddr
+		if at, err = syscall.Getsockname(fd); err == nil {
+			if v4, ok := at.(*syscall.SockaddrInet4); ok {
+				r.port = v4.Port
+				return r, nil
+			}
+			err = errors.New("no IPv4 address")
+		}
+	}
+	r.release()
+	return reservation{}, fmt.Errorf("port: %w", err)
+}
+
+func (r reservation) release() { _ = syscall.Close(r.fd) }
--- /dev/null
+++ b/internal/fleet/control/process.go
@@ -0,0 +1,237 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// The roles that a process of the bench may have.
+const (
+	RoleStandIn = "stand-in"
+	RoleAgents  = "agents"
+)
+
+// The commands of the bench to its processes.
+const (
+	opOpen    = "open"    // stand-in: Plan, List, Ports. agents: Plan, Agents, Ports
+	opList    = "list"    // stand-in: List
+	opSilence = "silence" // stand-in: Silent
+	opRestart = "restart" // agents: Agents
+	opReport  = "report"  // both
+)
+
+// command is one line from the bench to a process of its own; a reply comes for each.
+type command struct {
+	Op     string          `json:"op"`
+	Plan   *Plan           `json:"plan,omitempty"`
+	List   json.RawMessage `json:"list,omitempty"`
+	Ports  []int           `json:"ports,omitempty"` // of a stand-in's scopes, or of each agent's discovery
+	Agents []int           `json:"agents,omitempty"`
+	Silent bool            `json:"silent,omitempty"`
+	Heap   bool            `json:"heap,omitempty"` // report: collect the garbage first
+}
+
+// reply is a process's answer.
+type reply struct {
+	Error  string  `json:"error,omitempty"`
+	Usage  usage   `json:"usage"`
+	Counts counts  `json:"counts"`
+	AgeMs  int64   `json:"age_ms,omitempty"` // since the source of truth last said anything
+	Events []event `json:"events,omitempty"`
+}
+
+// usage is what a process has taken of the machine.
+type usage struct {
+	CPUMs     float64 `json:"cpu_ms"` // user and system, since its start
+	RSS       float64 `json:"rss"`    // bytes, now
+	Heap      float64 `json:"heap"`   // bytes in use by Go, exact after a garbage collection
+	Allocated float64 `json:"allocated"`
+}
+
+func measureUsage(collect bool) (u usage, err error) {
+	if collect {
+		runtime.GC()
+	}
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		return u, fmt.Errorf("usage: %w", err)
+	}
+	u.CPUMs = float64(r.Utime.Nano()+r.Stime.Nano()) / 1e6
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return u, fmt.Errorf("usage: %w", err)
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return u, errors.New("usage: statm: no resident pages")
+	}
+	pages, err := strconv.ParseFloat(fields[1], 64)
+	if err != nil {
+		return u, fmt.Errorf("usage: %w", err)
+	}
+	u.RSS = pages * float64(os.Getpagesize())
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	u.Heap, u.Allocated = float64(m.HeapAlloc), float64(m.TotalAlloc)
+	return u, nil
+}
+
+// Serve is a process of the bench in one role: it carries out the commands that come in
+// until they end, the bench with them, or the context does.
+func Serve(ctx context.Context, role string, in io.Reader, out io.Writer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var handle func(context.Context, *command) (reply, error)
+	switch role {
+	case RoleStandIn:
+		s := &standIn{}
+		defer s.close()
+		handle = s.handle
+	case RoleAgents:
+		h := &hollows{}
+		defer h.close()
+		handle = h.handle
+	default:
+		return fmt.Errorf("unknown role %q", role)
+	}
+	commands := make(chan command)
+	ended := make(chan error, 1)
+	go func() {
+		lines := json.NewDecoder(in)
+		for {
+			var cmd command
+			if err := lines.Decode(&cmd); err != nil {
+				ended <- err
+				return
+			}
+			select {
+			case commands <- cmd:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	replies := json.NewEncoder(out)
+	for {
+		select {
+		case cmd := <-commands:
+			answer, err := handle(ctx, &cmd)
+			if err == nil {
+				answer.Usage, err = measureUsage(cmd.Heap)
+			}
+			if err != nil {
+				answer.Error = err.Error()
+			}
+			if err := replies.Encode(answer); err != nil {
+				return fmt.Errorf("reply: %w", err)
+			}
+		case err := <-ended:
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return fmt.Errorf("command: %w", err)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Process is a process of the bench, seen from the bench.
+type Process struct {
+	name string
+	in   io.WriteCloser
+	out  *json.Decoder
+	end  func()       // ends it at once
+	wait func() error // returns when it has ended
+	once sync.Once
+}
+
+// Spawn starts a process in a role.
+type Spawn func(ctx context.Context, role string) (*Process, error)
+
+// Command is a Spawn that starts the program named with the arguments and the role behind
+// them. Each process has one core for Go code: the bench is a guest on its machine.
+func Command(program string, args ...string) Spawn {
+	return func(ctx context.Context, role string) (*Process, error) {
+		cmd := exec.Command(program, append(args[:len(args):len(args)], role)...)
+		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+		cmd.Stderr = os.Stderr
+		in, err := cmd.StdinPipe()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", role, err)
+		}
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", role, err)
+		}
+		if err := cmd.Start(); err != nil {
+			return nil, fmt.Errorf("%s: %w", role, err)
+		}
+		return &Process{name: fmt.Sprintf("%s, process %d", role, cmd.Process.Pid), in: in, out: json.NewDecoder(out),
+			end: func() { _ = cmd.Process.Kill() }, wait: cmd.Wait}, nil
+	}
+}
+
+// call has a command carried out. An error ends the run: the process may be gone, or in
+// the midst of the command.
+func (p *Process) call(ctx context.Context, cmd *command) (reply, error) {
+	type result struct {
+		reply
+		err error
+	}
+	done := make(chan result, 1)
+	go func() {
+		var r result
+		if r.err = json.NewEncoder(p.in).Encode(cmd); r.err == nil {
+			r.err = p.out.Decode(&r.reply)
+		}
+		done <- r
+	}()
+	select {
+	case r := <-done:
+		switch {
+		case r.err != nil && ctx.Err() != nil: // an interrupted process dies of it
+			return r.reply, fmt.Errorf("%s: %s: %w", p.name, cmd.Op, context.Cause(ctx))
+		case r.err != nil:
+			return r.reply, fmt.Errorf("%s: %s: has died: %w", p.name, cmd.Op, r.err)
+		case r.Error != "":
+			return r.reply, fmt.Errorf("%s: %s: %s", p.name, cmd.Op, r.Error)
+		}
+		return r.reply, nil
+	case <-ctx.Done():
+		return reply{}, fmt.Errorf("%s: %s: %w", p.name, cmd.Op, context.Cause(ctx))
+	}
+}
+
+// kill ends the process as a failing machine's would.
+func (p *Process) kill() {
+	p.once.Do(func() {
+		p.end()
+		_ = p.wait() // it was killed
+		p.in.Close()
+	})
+}
+
+// graceFor is how long a process may take to end after its commands have.
+const graceFor = 5 * time.Second
+
+// close lets the process end, and ends it if it does not.
+func (p *Process) close() {
+	p.once.Do(func() {
+		p.in.Close()
+		late := time.AfterFunc(graceFor, p.end)
+		defer late.Stop()
+		_ = p.wait() // its results have come, or the run's error is known
+	})
+}
--- /dev/null
+++ b/internal/fleet/control/standin.go
@@ -0,0 +1,225 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"molepaddle/internal/agent"
+)
+
+// lifeEvery is how often a watch gets an empty line while nothing changes.
+const lifeEvery = 2 * time.Second
+
+// standIn is a stand-in of discovery: its list comes from the bench, and it tells it to who
+// asks or watches, on a port for each scope.
+type standIn struct {
+	list   *directory
+	server []*http.Server
+	count  counts
+	peak   peak
+}
+
+// counts is what a stand-in served since its start. Bytes are those of HTTP, without the
+// headers below it.
+type counts struct {
+	Calls     int64 `json:"calls"`
+	Lists     int64 `json:"lists"`      // whole lists and changes written
+	Lives     int64 `json:"lives"`      // empty lines
+	Bytes     int64 `json:"bytes"`      // written
+	BytesRead int64 `json:"bytes_read"` // of calls
+	CallsPeak int64 `json:"calls_peak"` // most calls in a second since the last report
+}
+
+// peak finds the second with the most calls.
+type peak struct {
+	mu     sync.Mutex
+	second int64
+	calls  int64
+	most   int64
+}
+
+func (p *peak) call() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := time.Now().Unix(); now != p.second {
+		p.second, p.calls = now, 0
+	}
+	p.calls++
+	p.most = max(p.most, p.calls)
+}
+
+func (p *peak) take() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := p.most
+	p.most, p.calls = 0, 0
+	return most
+}
+
+// countedListener counts the bytes of its connections.
+type countedListener struct {
+	net.Listener
+	count *counts
+}
+
+type countedConn struct {
+	net.Conn
+	count *counts
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.count}, nil
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	atomic.AddInt64(&c.count.BytesRead, int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	atomic.AddInt64(&c.count.Bytes, int64(n))
+	return n, err
+}
+
+// handle carries out one command of the bench.
+func (s *standIn) handle(_ context.Context, cmd *command) (reply, error) {
+	switch cmd.Op {
+	case opOpen:
+		return reply{}, s.open(cmd)
+	case opList:
+		return reply{}, s.take(cmd.List)
+	case opSilence:
+		s.list.silence(cmd.Silent)
+		return reply{}, nil
+	case opReport:
+		n := counts{Calls: atomic.LoadInt64(&s.count.Calls), Lists: atomic.LoadInt64(&s.count.Lists),
+			Lives: atomic.LoadInt64(&s.count.Lives), Bytes: atomic.LoadInt64(&s.count.Bytes),
+			BytesRead: atomic.LoadInt64(&s.count.BytesRead), CallsPeak: s.peak.take()}
+		return reply{Counts: n, AgeMs: s.list.age().Milliseconds()}, nil
+	}
+	return reply{}, fmt.Errorf("unknown command %q", cmd.Op)
+}
+
+func (s *standIn) take(text []byte) error {
+	var l agent.List
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	s.list.take(&l)
+	return nil
+}
+
+// open takes up the list and listens.
+func (s *standIn) open(cmd *command) error {
+	var scope func(string) int
+	if cmd.Plan.Scope == ScopeService {
+		of := map[string]int{}
+		for i, service := range cmd.Plan.services() {
+			of[serverName(i)] = service
+		}
+		scope = func(host string) int { return of[host] }
+	}
+	s.list = newDirectory(scope)
+	if err := s.take(cmd.List); err != nil {
+		return err
+	}
+	for scope, port := range cmd.Ports {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return fmt.Errorf("stand-in: %w", err)
+		}
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /v1/endpoints", func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, scope) })
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+		s.server = append(s.server, server)
+		go func() { _ = server.Serve(countedListener{ln, &s.count}) }() // it ends with close
+	}
+	return nil
+}
+
+// close ends all watches and calls.
+func (s *standIn) close() {
+	for _, server := range s.server {
+		server.Close()
+	}
+}
+
+// serve answers one call. While the stand-in is silent nothing goes out, on new calls as on
+// open watches.
+func (s *standIn) serve(w http.ResponseWriter, r *http.Request, scope int) {
+	atomic.AddInt64(&s.count.Calls, 1)
+	s.peak.call()
+	follow, since := r.FormValue("follow") == "1", int64(0)
+	if follow {
+		var err error
+		if since, err = strconv.ParseInt(r.FormValue("since"), 10, 64); err != nil {
+			http.Error(w, "since: no number", http.StatusBadRequest)
+			return
+		}
+	}
+	life := time.NewTicker(lifeEvery)
+	defer life.Stop()
+	told := false
+	for {
+		seq, silent, changed := s.list.state()
+		// The first list goes out at once, also where it holds no change: it is the first word.
+		if !silent && (!told || seq != since) {
+			to, err := s.tell(w, scope, since)
+			switch {
+			case errors.Is(err, errSilent): // it fell silent in this moment
+			case err != nil || !follow:
+				return
+			default:
+				told, since = true, to
+			}
+			continue
+		}
+		select {
+		case <-changed:
+		case <-life.C:
+			if silent {
+				continue
+			}
+			if err := s.write(w, []byte("\n")); err != nil {
+				return
+			}
+			atomic.AddInt64(&s.count.Lives, 1)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// tell writes the scope's changes after a version, and returns the version told.
+func (s *standIn) tell(w http.ResponseWriter, scope int, since int64) (int64, error) {
+	text, seq, err := s.list.text(scope, since)
+	if err != nil {
+		return since, err
+	}
+	if err := s.write(w, text); err != nil {
+		return since, err
+	}
+	atomic.AddInt64(&s.count.Lists, 1)
+	return seq, nil
+}
+
+func (s *standIn) write(w http.ResponseWriter, text []byte) error {
+	if _, err := w.Write(text); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
+}
