--- a/cmd/fleetbench/main.go
+++ b/cmd/fleetbench/main.go
@@ -20,8 +20,10 @@
 type commands struct {
 	Verbose bool `help:"Say more of what is being done." short:"v"`
 
-	Decide decideCmd `cmd:"" help:"Measure the decision module alone: time and bytes for each event."`
-	Report reportCmd `cmd:"" help:"Write the tables of the capacity page from the results."`
+	Decide         decideCmd         `cmd:"" help:"Measure the decision module alone: time and bytes for each event."`
+	Report         reportCmd         `cmd:"" help:"Write the tables of the capacity page from the results."`
+	Control        controlCmd        `cmd:"" help:"Changes of the list: time until in force, and costs of agents and discovery."`
+	ControlProcess controlProcessCmd `cmd:"" hidden:""`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
