--- a/cmd/fleetbench/main.go
+++ b/cmd/fleetbench/main.go
@@ -19,6 +19,8 @@
 // commands are the subcommands; each has its own file.
 type commands struct {
 	Verbose bool `help:"Say more of what is being done." short:"v"`
+
+	Path pathCmd `cmd:"" help:"Real agents between a load generator and stand-in servers: what a call costs on its path."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- /dev/null
+++ b/cmd/fleetbench/path.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"strings"
+	"time"
+
+	"molepaddle/internal/fleet"
+	"molepaddle/internal/fleet/path"
+)
+
+// pathCmd is the subcommand path.
+type pathCmd struct {
+	fleet.Size `embed:""`
+	output     `embed:""`
+	Agent      string        `help:"Program of the agent, as deploy/balancer.toml builds it." default:"bin/molepaddle" type:"path"`
+	List       []int         `help:"Lengths of the list of servers, a case each; from four on a slope is fitted." default:"12,50,200,500,2000"`
+	Replicas   []int         `help:"Replicas the agents are told of; the cases are played with each." default:"1,2000"`
+	Open       []int         `help:"Requests open at once, a case each, at the answer times that this takes." default:"10,50,100,200,400"`
+	Beside     int           `help:"Agents side by side in the cases of one hop, each with its own calls." default:"4"`
+	Answer     time.Duration `help:"Time in which a stand-in server answers." default:"2ms"`
+	Aim        time.Duration `help:"Aim of the calls; they are given up after four times that." default:"500ms"`
+	Seconds    float64       `help:"How long each case is measured." default:"30"`
+	Warmup     float64       `help:"Seconds of calls before that." default:"5"`
+}
+
+// Help is what --help says beside the flags.
+func (c *pathCmd) Help() string {
+	return `Starts real agents as processes, with a load generator before and stand-in servers behind them,
+and compares the calls through them with direct calls that run at the same time: added latency,
+processor time, memory, connections and refusals. Each agent gets rate / agents calls a second.
+
+The cases, one after the other: one hop with each length of the list; --depth hops, each with
+servers / services listed; and one agent with many requests open. The first two are played with
+each number of replicas. With the sizes as they are given that takes some nine minutes and one core.`
+}
+
+// Run plays the cases.
+func (c *pathCmd) Run(ctx context.Context, log *slog.Logger) error {
+	rate := c.Rate / float64(c.Agents)
+	plan := path.Plan{Size: c.Size, Agent: c.Agent, Lists: c.List, Replicas: c.Replicas, Open: c.Open, Beside: c.Beside,
+		Answer: c.Answer, Aim: c.Aim, Calls: int(min(c.Seconds*rate, math.MaxInt32)), Warmup: int(min(c.Warmup*rate, math.MaxInt32))}
+	if err := plan.Validate(); err != nil {
+		return err
+	}
+	result := fleet.NewResult("path", c.args(), c.Size)
+	return c.finish(result, plan.Run(ctx, log, result))
+}
+
+// args are the arguments beside the size.
+func (c *pathCmd) args() []string {
+	list := func(values []int) string { return strings.Trim(strings.ReplaceAll(fmt.Sprint(values), " ", ","), "[]") }
+	return []string{"--list=" + list(c.List), "--replicas=" + list(c.Replicas), "--open=" + list(c.Open),
+		fmt.Sprint("--beside=", c.Beside), fmt.Sprint("--answer=", c.Answer), fmt.Sprint("--aim=", c.Aim),
+		fmt.Sprint("--seconds=", c.Seconds), fmt.Sprint("--warmup=", c.Warmup)}
+}
--- /dev/null
+++ b/internal/fleet/path/servers.go
@@ -0,0 +1,205 @@
+package path
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"molepaddle/internal/agent"
+)
+
+const (
+	// lifeEvery is how often discovery writes an empty line to a watch.
+	lifeEvery      = 2 * time.Second
+	bodyBytes      = 256 // of a server's answer
+	maxAnswerBytes = 64 << 10
+)
+
+var answerBody = strings.Repeat("x", bodyBytes)
+
+// standIns are the stand-in servers of one hop: one HTTP server on a listener each.
+type standIns struct {
+	addrs  []string
+	server *http.Server
+	answer time.Duration
+	next   *caller // who is called for each request; nil: nobody
+	came   atomic.Int64
+
+	mu    sync.Mutex
+	open  int // connections
+	peak  int
+	begun int
+	used  map[string]bool // addresses that had a connection
+}
+
+// newStandIns starts n servers that end with the context.
+func newStandIns(ctx context.Context, n int, answer time.Duration, next *caller) (*standIns, error) {
+	s := &standIns{answer: answer, next: next, used: map[string]bool{}}
+	s.server = &http.Server{Handler: s, ConnState: s.track, IdleTimeout: keepalive,
+		BaseContext: func(net.Listener) context.Context { return ctx }}
+	context.AfterFunc(ctx, func() { s.server.Close() })
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.server.Close()
+			return nil, fmt.Errorf("stand-in server: %w", err)
+		}
+		s.addrs = append(s.addrs, ln.Addr().String())
+		go s.server.Serve(ln) // ends with the listener, which Close ends
+	}
+	return s, nil
+}
+
+// track counts the connections.
+func (s *standIns) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.begun++
+		s.open++
+		s.peak = max(s.peak, s.open)
+		s.used[c.LocalAddr().String()] = true
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+	}
+}
+
+// connections returns how many are open, how many were opened so far, the most at one time,
+// and how many servers had any.
+func (s *standIns) connections() (open, begun, peak, used int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open, s.begun, s.peak, len(s.used)
+}
+
+// ServeHTTP answers after the answer time and, where there is a next hop, its answer. A call
+// there that is not served has failed here: the server may have done part of its work.
+func (s *standIns) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	s.came.Add(1)
+	left, err := strconv.Atoi(strings.TrimSuffix(r.Header.Get("Request-Timeout"), "m"))
+	if err != nil || r.Header.Get("Request-Id") == "" {
+		http.Error(w, "Request-Id or Request-Timeout: missing", http.StatusNotFound)
+		return
+	}
+	if !sleep(r.Context(), s.answer) {
+		return
+	}
+	status := http.StatusOK
+	if s.next != nil {
+		status, err = s.next.call(r.Context(), r.URL.Path, time.Duration(left)*time.Millisecond-time.Since(came))
+		if err != nil || status != http.StatusOK {
+			status = http.StatusInternalServerError
+		}
+	}
+	w.Header()["Date"] = nil
+	w.Header().Set("Content-Length", strconv.Itoa(bodyBytes))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, answerBody) // an error means that the caller has gone
+}
+
+// sleep reports false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// newDiscovery starts a stand-in of discovery that tells one list, which never changes, and
+// gives its address. It ends with the context.
+func newDiscovery(ctx context.Context, list agent.List) (addr string, err error) {
+	text, err := json.Marshal(list)
+	if err != nil {
+		return "", fmt.Errorf("discovery: %w", err)
+	}
+	text = append(text, '\n')
+	server := &http.Server{BaseContext: func(net.Listener) context.Context { return ctx },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if _, err := w.Write(text); err != nil || r.URL.Query().Get("follow") != "1" {
+				return
+			}
+			flush := http.NewResponseController(w)
+			for flush.Flush() == nil && sleep(r.Context(), lifeEvery) {
+				if _, err := io.WriteString(w, "\n"); err != nil {
+					return
+				}
+			}
+		})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("discovery: %w", err)
+	}
+	context.AfterFunc(ctx, func() { server.Close() })
+	go server.Serve(ln)
+	return ln.Addr().String(), nil
+}
+
+// caller calls agents or servers in turn, as an application does: kept connections, more
+// where all are busy.
+type caller struct {
+	client *http.Client
+	bases  []string
+	turn   atomic.Uint64
+	ids    *atomic.Uint64 // of all callers: an id is never used twice
+	opened atomic.Int64   // connections
+}
+
+func newCaller(ids *atomic.Uint64, addrs []string) *caller {
+	c := &caller{ids: ids}
+	dialer := net.Dialer{}
+	c.client = &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c.opened.Add(1)
+			return dialer.DialContext(ctx, network, addr)
+		},
+		MaxIdleConnsPerHost: agentSockets, DisableCompression: true}}
+	for _, a := range addrs {
+		c.bases = append(c.bases, "http://"+a)
+	}
+	return c
+}
+
+// call sends one request and returns the answer's status. It waits a little longer than the
+// called one is told, so that its last word counts.
+func (c *caller) call(ctx context.Context, path string, timeout time.Duration) (int, error) {
+	if timeout < time.Millisecond {
+		return 0, errors.New("no time left")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+time.Second)
+	defer cancel()
+	base := c.bases[c.turn.Add(1)%uint64(len(c.bases))]
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Request-Id", fmt.Sprintf("%016x", c.ids.Add(1)))
+	req.Header.Set("Request-Timeout", fmt.Sprintf("%dm", timeout.Milliseconds()))
+	req.Header.Set("Tenant", tenant)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, nil
+}
+
+// close ends the idle connections.
+func (c *caller) close() { c.client.CloseIdleConnections() }
