--- a/cmd/fleetbench/main.go
+++ b/cmd/fleetbench/main.go
@@ -24,6 +24,7 @@
 	Report         reportCmd         `cmd:"" help:"Write the tables of the capacity page from the results."`
 	Control        controlCmd        `cmd:"" help:"Changes of the list: time until in force, and costs of agents and discovery."`
 	ControlProcess controlProcessCmd `cmd:"" hidden:""`
+	Path           pathCmd           `cmd:"" help:"Real agents between a load generator and stand-in servers: what a call costs on its path."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
