--- a/internal/fleet/control/fleet.go
+++ b/internal/fleet/control/fleet.go
@@ -29,6 +29,7 @@
 	workers  []*worker
 	events   [][]event // by agent, those since the phase began
 	began    time.Time // the phase
+	lateMs   float64   // the longest that a process waited for a processor in it
 }
 
 // machine is a stand-in's place: the process there may be killed and replaced.
@@ -193,6 +194,7 @@
 		return err
 	}
 	for _, w := range f.workers {
+		f.lateMs = max(f.lateMs, w.last.LateMs)
 		for _, e := range w.last.Events {
 			f.events[e.Agent] = append(f.events[e.Agent], e)
 		}
@@ -202,7 +204,7 @@
 
 // pollStandIns takes in what the stand-ins report.
 func (f *running) pollStandIns(ctx context.Context) error {
-	return f.each(len(f.standIns), func(i int) error {
+	if err := f.each(len(f.standIns), func(i int) error {
 		m := f.standIns[i]
 		if m.Process == nil {
 			return nil
@@ -212,7 +214,15 @@
 			m.last = last
 		}
 		return err
-	})
+	}); err != nil {
+		return err
+	}
+	for _, m := range f.standIns {
+		if m.Process != nil {
+			f.lateMs = max(f.lateMs, m.last.LateMs)
+		}
+	}
+	return nil
 }
 
 // forced is when a version came to be in force at an agent, at the earliest at from.
@@ -322,7 +332,7 @@
 	for _, m := range f.standIns {
 		m.base = m.last
 	}
-	f.began = time.Now()
+	f.began, f.lateMs = time.Now(), 0
 	return nil
 }
 
@@ -354,6 +364,7 @@
 	}
 	bytes := float64(n.Bytes + n.BytesRead)
 	c.Add(prefix+"_took", "s", took)
+	c.Add(prefix+"_late", "s", f.lateMs/1000)
 	c.Add(prefix+"_agent_bytes", "bytes", bytes/agents)
 	c.Add(prefix+"_agent_bytes_s", "bytes/s", bytes/agents/took)
 	c.Add(prefix+"_agent_lists", "count", float64(n.Lists)/agents)
--- a/internal/fleet/control/process.go
+++ b/internal/fleet/control/process.go
@@ -49,6 +49,37 @@
 	Counts counts  `json:"counts"`
 	AgeMs  int64   `json:"age_ms,omitempty"` // since the source of truth last said anything
 	Events []event `json:"events,omitempty"`
+	LateMs float64 `json:"late_ms,omitempty"` // report: the longest wait for a processor since the last
+}
+
+// lateEvery is how often a process looks whether it gets a processor.
+const lateEvery = 20 * time.Millisecond
+
+// lateness is how long a process waited for a processor: its own of GOMAXPROCS, or one of
+// the machine's, which others use too. A time can't be told apart from a wait of that length.
+type lateness struct {
+	mu   sync.Mutex
+	most time.Duration
+}
+
+func (l *lateness) watch(ctx context.Context) {
+	for {
+		began := time.Now()
+		if sleep(ctx, lateEvery) != nil {
+			return
+		}
+		l.mu.Lock()
+		l.most = max(l.most, time.Since(began)-lateEvery)
+		l.mu.Unlock()
+	}
+}
+
+func (l *lateness) takeMs() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most := l.most
+	l.most = 0
+	return float64(most) / float64(time.Millisecond)
 }
 
 // usage is what a process has taken of the machine.
@@ -105,6 +136,8 @@
 	default:
 		return fmt.Errorf("unknown role %q", role)
 	}
+	late := &lateness{}
+	go late.watch(ctx)
 	commands := make(chan command)
 	ended := make(chan error, 1)
 	go func() {
@@ -133,6 +166,9 @@
 			if err != nil {
 				answer.Error = err.Error()
 			}
+			if cmd.Op == opReport {
+				answer.LateMs = late.takeMs()
+			}
 			if err := replies.Encode(answer); err != nil {
 				return fmt.Errorf("reply: %w", err)
 			}
