--- a/cmd/fleetbench/main.go
+++ b/cmd/fleetbench/main.go
@@ -19,6 +19,8 @@
 // commands are the subcommands; each has its own file.
 type commands struct {
 	Verbose bool `help:"Say more of what is being done." short:"v"`
+
+	Fleet fleetCmd `cmd:"" help:"Plays the whole fleet in virtual time, on days on which things fail."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
