--- a/cmd/fleetbench/main.go
+++ b/cmd/fleetbench/main.go
@@ -20,7 +20,9 @@
 type commands struct {
 	Verbose bool `help:"Say more of what is being done." short:"v"`
 
-	Fleet fleetCmd `cmd:"" help:"Plays the whole fleet in virtual time, on days on which things fail."`
+	Decide decideCmd `cmd:"" help:"Measure the decision module alone: time and bytes for each event."`
+	Fleet  fleetCmd  `cmd:"" help:"Play the whole fleet in virtual time, on days on which things fail."`
+	Report reportCmd `cmd:"" help:"Write the tables of the capacity page from the results."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,6 +22,10 @@
 	// and what it has to tell counts as told 6 s after it fell silent, the wait before the
 	// next call and that call included.
 	watchSilence = 3 * time.Second
+	// callFirst is the same for the first word of a call to a discovery that serves many in
+	// turn: it has failed what waited for 2 s, and a call that is given up later would leave
+	// too little of the 6 s to the next.
+	callFirst = 2500 * time.Millisecond
 	// localFirst is the same for the first word of a watch on the agent's own machine, which
 	// answers at once: what it has when it is back counts as told, and has the drains' grace.
 	localFirst   = 750 * time.Millisecond
@@ -120,6 +125,7 @@
 	base    string
 	gen     int // tells the results of one discovery from those of the one before
 	client  *http.Client
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	post    func(input)
 	first   time.Duration // within which a watch must begin to tell
 	silence time.Duration // after which it has ended
@@ -127,15 +133,24 @@
 	close   context.CancelFunc // ends all calls
 }
 
+// callKey finds a call's own context in the one that the transport dials with.
+type callKey struct{}
+
 func newDiscovery(ctx context.Context, addr string, gen int, post func(input)) *discovery {
 	d := &discovery{addr: addr, base: "http://" + addr + "/v1/endpoints", gen: gen, first: watchSilence, silence: watchSilence,
+		dial: (&net.Dialer{}).DialContext}
+	d.client = &http.Client{
 		// A connection a call: a kept one could break under the next call, which the
 		// transport would then send twice, and each call is work for discovery.
-		client: &http.Client{
-			Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxListHead},
-			// Discovery is where the configuration says, not where an answer points.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}}
+		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxListHead,
+			// Left to itself the transport goes on dialling after the call was given up. Where
+			// connections never come up each call would hold a descriptor for minutes.
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				return d.dial(ctx.Value(callKey{}).(context.Context), network, addr)
+			}},
+		// Discovery is where the configuration says, not where an answer points.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	d.ctx, d.close = context.WithCancel(ctx)
 	d.post = func(in input) {
 		in.gen = gen
@@ -209,8 +224,12 @@
 	err    error // why it ended
 }
 
-// lost tells whether a watch that had lived has ended, and no call that failed.
-func (w watched) lost(silence time.Duration) bool { return w.alive && w.lasted >= silence }
+// lost tells whether a watch that had lived has ended, and no call that failed. One that had
+// told has lived, however short: held for a failed call it was opened again seconds later,
+// as if discovery were down, when what it should have told already counted.
+func (w watched) lost(silence time.Duration) bool {
+	return w.told || w.alive && w.lasted >= silence
+}
 
 // follow is one watch.
 func (d *discovery) follow(since int64, eager bool) (w watched) {
@@ -288,7 +307,7 @@
 }
 
 func (d *discovery) get(ctx context.Context, url string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(context.WithValue(ctx, callKey{}, ctx), http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/agent/places.go
+++ b/internal/agent/places.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -41,7 +42,7 @@
 	places *places
 	got    atomic.Bool // something was read from it
 	stage  stage
-	since  time.Time // when the stage began
+	since  time.Time // when the stage began, or its next request to come
 	coming bool      // bytes of its next request were read
 	closed bool      // by its places: no request of it is taken any more
 	ahead  []byte    // read while a request was open, not yet handed on
@@ -100,8 +101,9 @@
 }
 
 func (c *clientConn) Close() error {
-	c.places.drop(c)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.places.drop(c) // not before: the next would be open beside it
+	return err
 }
 
 // CloseWrite lets the server end its side first, so that a client still sending reads
@@ -152,6 +154,34 @@
 	return found
 }
 
+// The states of Linux's TCP in which the peer has ended its sending, or the connection.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
+
+// ended tells whether the peer has ended its sending on a connection, though bytes from
+// before may wait unread: with these only the connection's state tells.
+func ended(c net.Conn) bool {
+	switch pending(c) {
+	case -1:
+		return true
+	case 0:
+		return false
+	}
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info [4]byte // the state is the first byte
+	err = raw.Control(func(fd uintptr) {
+		if word, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
+			binary.NativeEndian.PutUint32(info[:], uint32(word))
+		}
+	})
+	return err != nil || info[0] == tcpClose || info[0] == tcpCloseWait
+}
+
 // places holds the clients' connections, at most as many as there are places.
 type places struct {
 	most  int
@@ -164,6 +194,13 @@
 	return &places{most: most, many: many, conns: map[*clientConn]struct{}{}}
 }
 
+// resize changes how many places there are; connections over it end as others come.
+func (p *places) resize(most, many int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most, p.many = most, many
+}
+
 // listener gives each connection that it accepts a place.
 type listener struct {
 	net.Listener
@@ -219,7 +256,7 @@
 
 // least finds the connection to close for a new one: the one idle longest, else the
 // oldest that has said nothing, else one that was turned away, else the oldest whose
-// first request does not come to its end, and of the others one between requests. One
+// request does not come to its end, and of the others one between requests. One
 // with a request open is never closed.
 func (p *places) least(now time.Time) *clientConn {
 	const kinds = 5
@@ -228,6 +265,9 @@
 		kind, age := kinds, now.Sub(c.since)
 		switch {
 		case c.stage == idle && c.coming:
+			if age >= unfinishedFor { // the server waits far longer for its first bytes
+				kind = 3
+			}
 		case c.stage == idle && age >= idleFor:
 			kind = 0
 		case c.stage == fresh && c.got.Load() && age >= unfinishedFor:
@@ -261,6 +301,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	open = c.stage == busy
+	if c.stage == idle && !c.coming {
+		c.since = time.Now()
+	}
 	c.coming = c.coming || !open || ahead
 	return !c.closed, open
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -69,18 +69,20 @@
 	// probeCap bounds the validations under way at once.
 	probeCap = 2
 
-	// callGap is how far apart all agents' calls to one discovery are, in ms; it serves some
-	// more. A watch on the agent's own machine costs nothing: firstWait and longestWait, in
-	// ms, only keep its calls from spinning.
-	callGap, firstWait, longestWait = 75.0, 100.0, 500.0
-	// lostWithin is the span of the turns after a watch that lived has ended: what it misses
-	// counts as told 6 s after it fell silent, of which the silence takes 3 and a call 2.
-	lostWithin = 1000.0
-	// failWithin is the longest wait after failed calls where a fleet is small enough that all
-	// may call in it: what discovery has to tell counts as told after 6 s, a call takes up to 2.
-	failWithin = 4000.0
-	// askMargin is the part of the contract's time within which the first call must come.
-	askMargin = 0.8
+	// What discovery has to tell counts as told after toldWithin, in ms, whatever went wrong
+	// before; it serves calls in turn, and one that has waited for callMost fails. callMargin
+	// is left for the way and for what the list sets off.
+	toldWithin, callMost, callMargin = 6000.0, 2000.0, 250.0
+	// callGap is how far apart, in ms, the agents of a small fleet call that start together:
+	// large ones take all the time that the contract leaves, and no contract rests on it.
+	callGap = 75.0
+	// A watch on the agent's own machine costs nothing: firstWait and longestWait, in ms, only
+	// keep its calls from spinning.
+	firstWait, longestWait = 100.0, 500.0
+	// firstBackoff is the span, in ms, of the wait after a first failed call: less would come
+	// back to a queue that is as long as it was. lostBackoff is that after a watch that told
+	// has ended: what it missed counts as told some 2 s later, the call included.
+	firstBackoff, lostBackoff = 1000.0, 1000.0
 
 	tickToken, followToken = 1, 2
 )
@@ -93,22 +95,19 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
-		home: ownZone, again: againMost, boost: 1, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
+		home: ownZone, again: againMost, boost: 1, lookedAt: math.Inf(-1),
 		recentKeys: keyCounter{count: map[uint64]int{}}}
 	for i := range b.kinds {
 		b.kinds[i].weight = 1
 	}
-	for _, c := range set.Classes {
-		b.expect = append(b.expect, c.AimMs*crowdShare/2)
-		b.aimMin = min(b.aimMin, c.AimMs)
-		b.asked, b.won = append(b.asked, 1), append(b.won, 1)
-	}
+	b.classes, b.aimMin = classesOf(&set)
+	b.worst = b.classes[0]
 	return b, nil
 }
 
 // Start gives the first actions of a new agent and appends them to out.
 func (b *Balancer) Start(now float64, out []Action) []Action {
-	b.now, b.out, b.began, b.recentAt, b.flowAt = now, out, now, now, now
+	b.now, b.out, b.began, b.recentAt, b.flowAt, b.askedAt = now, out, now, now, now, now
 	b.askForList()
 	return b.out
 }
@@ -159,6 +158,7 @@
 func (b *Balancer) onTimer(token uint32) {
 	switch token {
 	case followToken:
+		b.askedAt = b.now
 		b.do(Action{Kind: ActFollow})
 	case tickToken:
 		b.ticking = false
@@ -173,13 +173,13 @@
 	if b.requests[ev.Request] != nil {
 		return
 	}
-	if ev.Class < 0 || ev.Class >= len(b.set.Classes) {
-		b.end(&request{id: ev.Request}) // still owed an answer; nothing of it ran
+	if ev.Class < 0 || ev.Class >= len(b.classes) {
+		b.end(&request{id: ev.Request, class: &class{}}) // still owed an answer; nothing of it ran
 		return
 	}
-	c := &b.set.Classes[ev.Class]
-	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key,
-		arrived: b.now, first: b.now}
+	c := b.classes[ev.Class]
+	r := &request{id: ev.Request, class: c, tenant: ev.Tenant, key: ev.Key,
+		arrived: b.now, first: b.now, maxAttempts: b.set.Limits.MaxAttempts}
 	if r.hint = finite(ev.HintMs); !ev.HasHint {
 		r.hint = 0
 	} else if r.hint > 0 {
@@ -195,7 +195,7 @@
 	b.requests[r.id] = r
 	b.seen++
 	if !ev.Retry { // retries swell with trouble, and are foreseen nowhere
-		b.recent = b.recent*math.Exp((b.recentAt-b.now)/max(b.set.Limits.KeepaliveMs, 1)) + 1
+		b.recent = b.recent*math.Exp((b.recentAt-b.now)/b.rateSpan()) + 1
 		b.recentAt = b.now
 	}
 	b.count(r.tenant)
@@ -212,11 +212,11 @@
 // value is the worth that a unit of server time spent on the request earns, by
 // the objective: a part of the whole, and all of the worst class if it is of it.
 func (b *Balancer) value(r *request) float64 {
-	c := &b.set.Classes[r.class]
+	c := r.class
 	o := &b.set.Objective
 	v := c.Credit * (o.Whole + o.WorstWindow)
 	if r.class == b.worst {
-		v += o.WorstClass * b.credit / b.asked[r.class]
+		v += o.WorstClass * b.credit / r.class.asked
 	}
 	if b.now+b.expected(r) > r.aimAt {
 		v *= c.LateShare + b.set.Prices.LateFail
@@ -225,7 +225,7 @@
 		v *= b.set.OverShareWorth
 	}
 	if b.set.WorthBy != "work" {
-		v /= b.expect[r.class]
+		v /= r.class.expect
 	}
 	return v
 }
@@ -233,6 +233,7 @@
 // dispatch sends what is held as far as there is room: the most valuable first,
 // of equals the newest, as under overload the oldest would only end late.
 func (b *Balancer) dispatch() {
+	b.work += uint64(len(b.held))
 	for _, r := range b.held {
 		r.value = b.value(r)
 	}
@@ -280,19 +281,40 @@
 func (b *Balancer) share() float64 {
 	all := shareOut * float64(b.ready)
 	even := all / float64(max(b.set.Replicas, 1))
-	quota := 0.0
+	rate, quota := b.rate(), 0.0
 	for _, t := range b.set.Tenants {
 		quota += t.QuotaPerS / 1000
 	}
 	if quota == 0 {
-		return even
+		return max(even, all*rate/b.feasible(math.Inf(1)))
 	}
-	return max(all*b.rate()/quota, min(even, 1))
+	return max(all*rate/b.feasible(quota), min(even, 1))
+}
+
+// feasible bounds what the settings foresee of all agents, in requests a ms, by what the
+// listed servers answer with shareOut attempts out at each and nothing crowded. In a fleet of
+// many services the settings tell of all of them, the list names one service's servers: a
+// part of the whole quota left an agent of a healthy service a hundredth of an attempt, and
+// it refused two calls in three. An agent may so always have out what its own calls take
+// while nothing is crowded (Little's law): of a service asked for x times what it can do, x
+// attempts a server, all agents together, and shareOut where the settings tell of it alone.
+func (b *Balancer) feasible(rate float64) float64 {
+	calm := b.calmLat * b.meanAim
+	if calm <= 0 || b.ready == 0 {
+		return rate // nothing was measured yet, or nobody can answer
+	}
+	return min(rate, shareOut*float64(b.ready)/calm)
+}
+
+// rateSpan is the time over which requests are counted, in ms: that for which a connection
+// is kept, and where none is, that in which a server may be pushed over.
+func (b *Balancer) rateSpan() float64 {
+	return max(b.set.Limits.KeepaliveMs, b.set.Contract.TipAfterMs, 1)
 }
 
 // rate is how many requests a ms came of late.
 func (b *Balancer) rate() float64 {
-	span := max(b.set.Limits.KeepaliveMs, 1)
+	span := b.rateSpan()
 	old := math.Exp((b.recentAt - b.now) / span)
 	return b.recent * old / span / max(1-math.Exp((b.began-b.now)/span), 0.01)
 }
@@ -302,7 +324,7 @@
 // and broken connections tell nothing of queues.
 func (b *Balancer) adapt(a *attempt, st Status, rtt float64) {
 	room := max(b.share()*b.boost, 1)
-	over := min(max(rtt/b.set.Classes[a.r.class].AimMs-crowdShare, 0), 1)
+	over := min(max(rtt/a.r.class.AimMs-crowdShare, 0), 1)
 	if st == Full {
 		over = 1
 	}
@@ -322,10 +344,11 @@
 
 // expire ends held requests that can no longer earn anything, before they cost work.
 func (b *Balancer) expire() {
+	b.work += uint64(len(b.held))
 	for i := 0; i < len(b.held); {
 		r := b.held[i]
 		last := r.aimAt
-		if b.set.Classes[r.class].LateShare > 0 {
+		if r.class.LateShare > 0 {
 			last = r.deadline
 		}
 		if b.now+b.expected(r) > last || b.now >= r.deadline {
@@ -338,7 +361,7 @@
 
 // expected is how long an answer to the request takes, on the mean.
 func (b *Balancer) expected(r *request) float64 {
-	e := b.expect[r.class]
+	e := r.class.expect
 	if t := b.hintedTime(r); t > 0 {
 		e = max(t, e/4)
 	}
@@ -354,7 +377,7 @@
 		return 2
 	case UnhealthyPending:
 		// What must not run twice does not check a server while others are healthy.
-		once := b.set.Classes[r.class].Effect == SingleShot
+		once := r.class.Effect == SingleShot
 		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
 			return 1
 		}
@@ -367,10 +390,11 @@
 func (b *Balancer) pick(r *request) *server {
 	waits, subset := b.waits(r), b.subset()
 	for rank := range 3 {
-		tier, n := b.tier[:0], 0
+		tier, n, seen := b.tier[:0], 0, 0
 		r.tierWeight = 0
 		var near [keyServers]*server
 		for _, s := range b.servers {
+			seen++
 			if b.rank(s, r) != rank || !b.maySend(r, s) {
 				continue
 			}
@@ -390,6 +414,7 @@
 			}
 		}
 		b.tier = tier
+		b.work += uint64(seen)
 		if r.tierWeight == 0 {
 			continue // an empty tier passes down
 		}
@@ -539,7 +564,7 @@
 // hasRoom, whose credit every attempt is charged in send.
 func (b *Balancer) maySend(r *request, s *server) bool {
 	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
-		len(r.attempts) >= b.set.Limits.MaxAttempts {
+		len(r.attempts) >= r.maxAttempts {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -550,7 +575,7 @@
 	if r.risky == 0 {
 		return true
 	}
-	c := &b.set.Classes[r.class]
+	c := r.class
 	switch c.Effect {
 	case Free:
 		return true
@@ -566,7 +591,7 @@
 
 // repeatWithin is for how long a keyed request that may have run may still be sent again.
 func (b *Balancer) repeatWithin(r *request) float64 {
-	return r.ranAt + b.set.Classes[r.class].KeyTTLMs - 2*b.set.RoundMs - b.now
+	return r.ranAt + r.class.KeyTTLMs - 2*b.set.RoundMs - b.now
 }
 
 func (b *Balancer) send(r *request, s *server) bool {
@@ -579,7 +604,7 @@
 	within := 0.0
 	if r.risky == 0 {
 		r.ranAt, r.ranOn = b.now, s
-	} else if b.set.Classes[r.class].Effect == Guarded {
+	} else if r.class.Effect == Guarded {
 		within = b.repeatWithin(r)
 	}
 	r.risky++
@@ -609,6 +634,7 @@
 		b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
 		b.flowAt = b.now
 	}
+	b.visit(b.servers)
 	for _, o := range b.servers {
 		if b.ramp(o) < 1 && warm > 0 {
 			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
@@ -623,7 +649,7 @@
 		return
 	}
 	b.remember(r)
-	c := &b.set.Classes[r.class]
+	c := r.class
 	harmless := r.risky == 0 || c.Effect == Free || c.Effect == Guarded && c.Group == GroupAll
 	b.close(r)
 	if harmless {
@@ -698,13 +724,13 @@
 // the load: with a request or two out at each of a thousand agents no window holds back
 // what all send on together (i86bcad).
 func (b *Balancer) further(r *request, why Status) {
-	c := &b.set.Classes[r.class]
+	c := r.class
 	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
 	price := 1.0
 	if why == ConnectFailed {
 		price = 0 // no server was asked for anything
 	}
-	spent := b.again < price || len(r.attempts) >= b.set.Limits.MaxAttempts
+	spent := b.again < price || len(r.attempts) >= r.maxAttempts
 	if !able || spent || why == Moot || b.now >= r.deadline {
 		b.end(r)
 		return
@@ -759,10 +785,10 @@
 	b.learnHint(r, rtt)
 	b.heardFrom(s)
 	s.rtt = mean(s.rtt, rtt, smooth)
-	c := &b.set.Classes[r.class]
-	b.expect[r.class] = mean(b.expect[r.class], min(rtt, 2*c.AimMs), 4*slowSmooth)
+	c := r.class
+	r.class.expect = mean(r.class.expect, min(rtt, 2*c.AimMs), 4*slowSmooth)
 	if b.now <= r.aimAt {
-		b.won[r.class] += 1 - fade
+		r.class.won += 1 - fade
 	}
 	x := b.partOfAim(r, rtt)
 	b.answers++
@@ -868,7 +894,7 @@
 // partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
 // request counts as one of mean work; a small one's time is mostly the network's.
 func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
-	x := rtt / b.set.Classes[r.class].AimMs
+	x := rtt / r.class.AimMs
 	if r.hint > 0 {
 		x *= min(b.meanHint/r.hint, 1)
 	}
@@ -943,6 +969,7 @@
 // watchSilence demotes servers that took attempts and have answered nothing for
 // several answer times: hung or gone silent, they would stay Connected.
 func (b *Balancer) watchSilence() {
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		silent := func(a *attempt, times float64) bool {
 			return b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*times
@@ -966,7 +993,7 @@
 // when it can no longer earn anything, as those do that are held. The limit lets go only when
 // it is sure: crowded servers seem silent for a while too, and need the limit most.
 func (b *Balancer) release(a *attempt, sure bool) {
-	r, c := a.r, &b.set.Classes[a.r.class]
+	r, c := a.r, a.r.class
 	if sure && !a.stuck {
 		a.stuck = true
 		b.stuck++
@@ -977,7 +1004,7 @@
 	case c.LateShare == 0 && b.now >= r.aimAt:
 		a.called = true
 		b.end(r)
-	case again && b.set.Limits.Cancelling && len(r.attempts) < b.set.Limits.MaxAttempts && b.again >= 1 &&
+	case again && b.set.Limits.Cancelling && len(r.attempts) < r.maxAttempts && b.again >= 1 &&
 		b.now+b.expected(r) < r.aimAt:
 		a.called = true
 		b.do(Action{Kind: ActCancel, Request: r.id, Attempt: a.index})
@@ -987,6 +1014,7 @@
 // revalidate, on each request, refreshes servers that were Unhealthy long enough to
 // pending, to be validated in the background.
 func (b *Balancer) revalidate() {
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		if s.state == Unhealthy && s.usable && len(s.out) == 0 && b.now-s.since >= b.holdFor(s) {
 			b.enter(s, UnhealthyPending)
@@ -1020,31 +1048,60 @@
 
 // ---- the list ----
 
-// askForList sets the time of the next call that follows the list. Where discovery is one
-// service for all, agents that start together have turns callGap apart by their numbers:
-// 80 that called within a second found a queue longer than any call waits, and those turned
-// away kept it so; none that was restarted got its list for the rest of the day. One that
-// failed waits for a turn in a span twice as long, up to the contract's time.
+// askForList sets the time of the first call that follows the list. Where discovery is one
+// service for all, agents that start together have turns by their numbers: 80 that called
+// within a second found a queue longer than any call waits, and those turned away kept it
+// so. The last turn leaves its call the time in which it has to be told.
 func (b *Balancer) askForList() {
-	if b.set.Membership == Pushed {
+	switch b.set.Membership {
+	case Watched:
+		b.follow(b.rng.Float64() * firstWait)
+	case OnRequest:
+		turn := (float64(b.set.Index) + b.rng.Float64()) / float64(max(b.set.Replicas, b.set.Index+1))
+		b.follow(turn * b.spread(toldWithin-callMost-callMargin))
+	}
+}
+
+// askAgain sets the time of the next call after failures calls in a row that failed, or
+// watches that told and ended at once: a backoff with jitter that doubles from span. The
+// last call may have failed at the very moment in which discovery came back, so what it
+// took, the wait and the next call are together less than toldWithin.
+func (b *Balancer) askAgain(failures int, span float64) {
+	if b.set.Membership == Watched {
+		b.follow(b.rng.Float64() * min(firstWait*math.Pow(2, float64(failures)), longestWait))
 		return
 	}
-	turn := (float64(b.set.Index) + b.rng.Float64()) / float64(max(b.set.Replicas, b.set.Index+1))
-	span := callGap * float64(b.set.Replicas)
-	if within := b.set.Contract.AskWithinMs; within > 0 {
-		span = min(span, askMargin*within) // who has not asked by then counts as told
+	most := toldWithin - callMost - callMargin - (b.now - b.askedAt)
+	span = min(span*math.Pow(2, float64(failures-1)), max(most, firstBackoff))
+	b.follow(span * (0.5 + b.rng.Float64()/2))
+}
+
+// onLost sets the time of the next call after a watch that had told has ended. One that
+// ends again and again as soon as it has told is no better than calls that fail.
+func (b *Balancer) onLost() {
+	b.failures = 0
+	if b.now-b.askedAt < toldWithin/2 {
+		b.losses++
+	} else {
+		b.losses = 1
 	}
 	switch {
+	case b.losses > 1:
+		b.askAgain(b.losses-1, lostBackoff)
 	case b.set.Membership == Watched:
-		turn, span = b.rng.Float64(), min(firstWait*math.Pow(2, float64(b.follows)), longestWait)
-	case b.follows > 0:
-		turn = 0.5 + b.rng.Float64()/2
-		most := max(min(2*span, b.set.Contract.AskWithinMs), failWithin)
-		span = min(max(2*span, 1000)*math.Pow(2, float64(b.follows-1)), most)
+		b.follow(b.rng.Float64() * firstWait)
+	default:
+		b.follow(b.rng.Float64() * b.spread(lostBackoff))
 	}
-	b.do(Action{Kind: ActTimer, Ms: turn * span, Token: followToken})
 }
 
+// spread is the time over which all agents' calls are spread, at most most.
+func (b *Balancer) spread(most float64) float64 {
+	return min(callGap*float64(b.set.Replicas), most)
+}
+
+func (b *Balancer) follow(in float64) { b.do(Action{Kind: ActTimer, Ms: in, Token: followToken}) }
+
 // refetch asks for the whole list, seldom: every call loads discovery. Who follows the list
 // has it as new as can be, or waits for its turn to ask.
 func (b *Balancer) refetch() {
@@ -1057,20 +1114,14 @@
 func (b *Balancer) onList(ev *Event) {
 	switch ev.List {
 	case ListFailed:
-		b.follows++
-		b.askForList()
+		b.failures++
+		b.askAgain(b.failures, firstBackoff)
 		return
 	case ListLost:
-		b.follows = 0
-		if b.set.Membership == OnRequest {
-			span := min(lostWithin, callGap*float64(b.set.Replicas))
-			b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * span, Token: followToken})
-			return
-		}
-		b.askForList()
+		b.onLost()
 		return
 	}
-	b.follows = 0
+	b.failures = 0
 	b.epoch++
 	named := map[Addr]bool{}
 	for i := range ev.Entries {
@@ -1078,11 +1129,13 @@
 		b.update(&ev.Entries[i])
 	}
 	if ev.List != ListDelta {
+		b.visit(b.servers)
 		for _, s := range b.servers {
 			s.usable = s.usable && named[s.id]
 		}
 	}
 	b.ready = 0
+	b.visit(b.servers)
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
 		if s.usable {
 			b.ready++
@@ -1096,6 +1149,7 @@
 }
 
 func (b *Balancer) update(e *Entry) {
+	b.work++
 	s, since := b.byAddr[e.Server], finite(e.SinceMs)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -55,29 +56,48 @@
 	called bool // called off
 }
 
+// class is a class of requests and what was learnt of it.
+type class struct {
+	Class
+	expect float64 // mean answer time
+	asked  float64 // share of the requests of late
+	won    float64 // and of those served in time
+}
+
+// classesOf gives the settings' classes, of which nothing is known yet, and their least aim.
+func classesOf(set *Settings) (all []*class, aimMin float64) {
+	aimMin = math.Inf(1)
+	for _, c := range set.Classes {
+		all = append(all, &class{Class: c, expect: c.AimMs * crowdShare / 2, asked: 1, won: 1})
+		aimMin = min(aimMin, c.AimMs)
+	}
+	return all, aimMin
+}
+
 // request is one try of a client, kept until it is answered and no attempt is out.
 type request struct {
-	id         RequestID
-	class      int
-	tenant     int
-	key        uint64
-	hash       uint64 // what orders the servers for it
-	hint       float64
-	first      float64 // when the client's first try came, as far as known
-	arrived    float64
-	aimAt      float64
-	deadline   float64 // margin already taken off
-	attempts   []*attempt
-	open       int // attempts out
-	risky      int // attempts that may have run
-	ranAt      float64
-	ranOn      *server
-	near       [keyServers]*server // nearest its key, as of epoch
-	epoch      uint64
-	tierWeight float64 // of the tier at its last pick
-	value      float64
-	closed     bool
-	started    bool // a streamed answer belongs to the client now
+	id          RequestID
+	class       *class
+	tenant      int
+	key         uint64
+	hash        uint64 // what orders the servers for it
+	hint        float64
+	first       float64 // when the client's first try came, as far as known
+	arrived     float64
+	aimAt       float64
+	deadline    float64 // margin already taken off
+	attempts    []*attempt
+	maxAttempts int
+	open        int // attempts out
+	risky       int // attempts that may have run
+	ranAt       float64
+	ranOn       *server
+	near        [keyServers]*server // nearest its key, as of epoch
+	epoch       uint64
+	tierWeight  float64 // of the tier at its last pick
+	value       float64
+	closed      bool
+	started     bool // a streamed answer belongs to the client now
 }
 
 // keyCounter counts how often each key came among the last keyMemory requests.
@@ -106,7 +126,7 @@
 
 // past is what is remembered of an unserved request, to know its retry.
 type past struct {
-	class int
+	class *class
 	key   uint64
 	first float64
 }
@@ -132,7 +152,7 @@
 	inflight   int
 	stuck      int // of these, on servers that fell silent
 	probes     int
-	expect     []float64 // per class: mean answer time
+	classes    []*class
 	meanHint   float64
 	hints      float64 // answers to hinted requests, and their means and spread
 	hintMean   float64
@@ -143,13 +163,14 @@
 	fleetLat   float64   // mean answer time as a part of the aim, all servers
 	calmLat    float64   // the same when nothing is crowded
 	usage      []float64 // tenants' shares of requests
-	asked      []float64 // classes' shares of requests
-	won        []float64 // and of those served in time
-	worst      int       // the class served worst
+	worst      *class    // the class served worst
 	credit     float64   // mean worth of a request
 	aimMin     float64
+	meanAim    float64 // of the requests of late, by their classes
 	lookedAt   float64 // last fetch of the list
-	follows    int     // failed calls in a row
+	askedAt    float64 // last call that follows the list
+	failures   int     // failed calls in a row
+	losses     int     // watches in a row that ended as soon as they had told
 	flow       float64 // work sent to a warm server of weight one, fading over the cold time
 	flowAt     float64
 	boost      float64 // how many times its share of attempts the agent may have out
@@ -169,22 +190,35 @@
 	seen       float64 // requests since
 	ticking    bool
 	scarce     bool // requests that would take any server find no room
+	work       uint64
 }
 
+// Work is how many listed servers, entries of lists and held requests the decisions have
+// looked at so far: what a decision costs, without a clock. Its growth with the size of the
+// list can be tested where times can't.
+func (b *Balancer) Work() uint64 { return b.work }
+
+// visit counts a walk over servers as work.
+func (b *Balancer) visit(servers []*server) { b.work += uint64(len(servers)) }
+
 // tally keeps the classes' shares of requests and of those served in time.
-func (b *Balancer) tally(class int) {
+func (b *Balancer) tally(of *class) {
 	b.credit = 0
-	for i, c := range b.set.Classes {
-		b.asked[i] *= fade
-		b.won[i] *= fade
-		if i == class {
-			b.asked[i] += 1 - fade
+	aims, all := 0.0, 0.0
+	for _, c := range b.classes {
+		c.asked *= fade
+		c.won *= fade
+		if c == of {
+			c.asked += 1 - fade
 		}
-		b.credit += b.asked[i] * c.Credit
-		if b.won[i]*b.asked[b.worst] < b.won[b.worst]*b.asked[i] {
-			b.worst = i
+		b.credit += c.asked * c.Credit
+		aims += c.asked * c.AimMs
+		all += c.asked
+		if c.won*b.worst.asked < b.worst.won*c.asked {
+			b.worst = c
 		}
 	}
+	b.meanAim = aims / all
 }
 
 // count keeps the tenants' shares of this agent's requests.
@@ -235,7 +269,7 @@
 		return
 	}
 	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool {
-		return b.now-p.first > b.set.Classes[p.class].GiveUpMs
+		return b.now-p.first > p.class.GiveUpMs
 	})
 	if len(b.pasts) < maxHeld {
 		b.pasts = append(b.pasts, past{r.class, r.key, r.first})
@@ -259,6 +293,7 @@
 		return b.warm
 	}
 	b.warm, b.warmAt, b.warmEpoch = 0, b.now, b.epoch
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		if s.usable && s.state <= Unknown && b.ramp(s) == 1 {
 			b.warm += s.weight
@@ -271,6 +306,7 @@
 // servers it tells nothing.
 func (b *Balancer) medianFails() float64 {
 	b.shares = b.shares[:0]
+	b.visit(b.servers)
 	for _, s := range b.servers {
 		if s.usable {
 			b.shares = append(b.shares, s.fails)
