--- a/cmd/fleetbench/fleet_test.go
+++ b/cmd/fleetbench/fleet_test.go
@@ -61,3 +61,12 @@
 		}
 	}
 }
+
+// An unknown day ends the program as bad arguments do.
+func TestFleetExitsOnBadArguments(t *testing.T) {
+	for _, args := range [][]string{{"fleet", "--days", "monday"}, {"fleet", "--told", "nobody"}, {"fleet", "--load", "x"}} {
+		if code := run(args); code != 2 {
+			t.Errorf("%v: exit %d", args, code)
+		}
+	}
+}
