--- a/cmd/fleetbench/path.go
+++ b/cmd/fleetbench/path.go
@@ -35,7 +35,7 @@
 
 The cases, one after the other: one hop with each length of the list; --depth hops, each with
 servers / services listed; and one agent with many requests open. The first two are played with
-each number of replicas. With the sizes as they are given that takes some nine minutes and one core.`
+each number of replicas. With the sizes as they are given that takes some eleven minutes and one core.`
 }
 
 // Run plays the cases.
