--- a/cmd/fleetbench/main.go
+++ b/cmd/fleetbench/main.go
@@ -20,8 +20,12 @@
 type commands struct {
 	Verbose bool `help:"Say more of what is being done." short:"v"`
 
-	Decide decideCmd `cmd:"" help:"Measure the decision module alone: time and bytes for each event."`
-	Report reportCmd `cmd:"" help:"Write the tables of the capacity page from the results."`
+	Decide         decideCmd         `cmd:"" help:"Measure the decision module alone: time and bytes for each event."`
+	Path           pathCmd           `cmd:"" help:"Real agents between a load generator and stand-in servers: what a call costs on its path."`
+	Control        controlCmd        `cmd:"" help:"Changes of the list: time until in force, and costs of agents and discovery."`
+	ControlProcess controlProcessCmd `cmd:"" hidden:""`
+	Fleet          fleetCmd          `cmd:"" help:"Play the whole fleet in virtual time, on days on which things fail."`
+	Report         reportCmd         `cmd:"" help:"Write the tables of the capacity page from the results."`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/policy/sets_test.go
+++ b/policy/sets_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "slices"
+import (
+	"slices"
+	"testing"
+)
 
 // checkSets compares the sets that the decisions walk with the whole list: whoever belongs to
 // one is in it, in the order of the list, and the weight of warm servers is that of a new count.
@@ -34,3 +37,26 @@
 		w.t.Fatalf("warm weight %v, counted anew %v", b.warm, fresh)
 	}
 }
+
+// Where new settings give servers a longer cold time, those that were warm are cold again.
+func TestALongerColdTimeIsSeenInTheSets(t *testing.T) {
+	set := testSettings()
+	set.Contract.ColdMs = 500
+	r := newRig(t, set, 3)
+	w := &world{t: t, b: r.b}
+	r.list(ListDelta, Entry{Server: addr(1), Health: Ready, Weight: 1, SinceMs: r.now})
+	r.now += 600
+	if r.ask(0, 0); r.b.warmWeight() != 3 || len(r.b.cold) != 0 {
+		t.Fatalf("weight %v of warm servers, %d cold; want 3 and none", r.b.warmWeight(), len(r.b.cold))
+	}
+	set.Contract.ColdMs = 5000
+	if err := r.b.Reconfigure(set); err != nil {
+		t.Fatal(err)
+	}
+	w.checkSets()
+	r.now++ // a weight holds for its moment
+	r.ask(0, 0)
+	if got := r.b.warmWeight(); got != 2 || len(r.b.cold) != 1 {
+		t.Errorf("weight %v of warm servers, %d cold; want 2 and 1", got, len(r.b.cold))
+	}
+}
