--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -34,6 +34,10 @@
 	if err != nil {
 		return err
 	}
+	trace, err := agent.ParseTrace(os.Getenv("EDGE_TRACE"))
+	if err != nil {
+		return err
+	}
 	// The live heap is a few MB, so it may grow well past the usual twice, which saves
 	// collections.
 	debug.SetGCPercent(400)
@@ -62,6 +66,13 @@
 		}
 	}()
 	log.Info("started", "listen", conf.Listen, "backends", len(conf.Known.Hosts))
+	if trace > 0 {
+		go func() {
+			if err := a.Trace(trace); err != nil {
+				log.Error("trace: not on", "err", err)
+			}
+		}()
+	}
 	if err := a.Serve(ctx, ln); err != nil {
 		return err
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -25,6 +25,8 @@
 	inWatchEnded               // err, lost, gen
 	inReload                   // conf, done
 	inWaited                   // the agent is ready, whether or not it knows a backend
+	inTrace                    // every, done: log the module's state from now on
+	inTraceDue                 // the next line of that
 )
 
 // duplicate is the answer to a request whose id came before.
@@ -50,6 +52,7 @@
 	gen   int  // of the discovery that was asked
 	conf  *Config
 	done  chan error // room for the one that is sent
+	every time.Duration
 }
 
 // request is what a client asked. The handler fills it in; what stands below
@@ -123,6 +126,7 @@
 	after    func(time.Duration, func()) *time.Timer // time.AfterFunc, but for tests
 	ctx      context.Context
 	learned  func(seq int64, whole bool) // told of each list in force; may be nil
+	tracer   *tracer                     // nil: off
 }
 
 func newLoop(ctx context.Context, c *Config, log *slog.Logger) (*loop, error) {
@@ -223,6 +227,10 @@
 		l.tell(&policy.Event{Kind: policy.EvTimer, Token: in.token})
 	case inReload:
 		in.done <- l.reload(in.conf)
+	case inTrace:
+		in.done <- l.startTrace(in.every)
+	case inTraceDue:
+		l.trace()
 	case inWaited:
 		l.waited = true
 		if !l.ready.Swap(true) {
--- /dev/null
+++ b/internal/agent/trace_test.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"molepaddle/policy"
+)
+
+// The trace writes one line at its start and one each time it is due, with the counts since the
+// line before, and ends when it has written all that it may.
+func TestTraceLogsTheModulesState(t *testing.T) {
+	l := quietLoop(t, "127.0.0.1:1", "127.0.0.1:2")
+	var text bytes.Buffer
+	l.log = slog.New(slog.NewTextHandler(&text, nil))
+	due := 0
+	l.after = func(d time.Duration, _ func()) *time.Timer {
+		if d != time.Second {
+			t.Errorf("the next line is due after %v", d)
+		}
+		due++
+		return nil
+	}
+	if err := l.startTrace(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.startTrace(time.Second); err == nil {
+		t.Error("a second trace was begun")
+	}
+	l.bal.Handle(l.clock(), &policy.Event{Kind: policy.EvRequest, Request: 1, LeftMs: 1000}, nil)
+	for range 2 {
+		l.handle(input{kind: inTraceDue})
+	}
+	lines := strings.Split(strings.TrimSpace(text.String()), "\n")
+	if len(lines) != 3 || due != 3 {
+		t.Fatalf("%d lines, %d times due:\n%s", len(lines), due, text.String())
+	}
+	class := l.conf.Settings.Classes[0].Name
+	for i, want := range []string{class + ".asked=0", class + ".asked=1", class + ".asked=0"} {
+		if !strings.Contains(lines[i], want) || !strings.Contains(lines[i], "tier0.servers=2") {
+			t.Errorf("line %d lacks %s or the servers: %s", i, want, lines[i])
+		}
+	}
+	l.tracer.lines = mostTraceLines - 1
+	l.handle(input{kind: inTraceDue})
+	if due != 3 || !strings.Contains(text.String(), "trace: ends") {
+		t.Error("the trace goes on past its bound")
+	}
+}
+
+func TestParseTrace(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "250ms": 250 * time.Millisecond, "2s": 2 * time.Second} {
+		if got, err := ParseTrace(text); err != nil || got != want {
+			t.Errorf("%q gave %v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"often", "1ms", "-1s", "250"} {
+		if _, err := ParseTrace(text); err == nil || !strings.HasPrefix(err.Error(), "EDGE_TRACE: ") {
+			t.Errorf("%q gave the error %v", text, err)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -196,6 +196,7 @@
 	r.hash = b.split(r.key)
 	b.requests[r.id] = r
 	b.seen++
+	c.counts.Asked++
 	if !ev.Retry { // retries swell with trouble, and are foreseen nowhere
 		b.recent = b.recent*math.Exp((b.recentAt-b.now)/b.rateSpan()) + 1
 		b.recentAt = b.now
@@ -645,6 +646,7 @@
 	}
 	s.sentAt, b.triedAt = b.now, b.now
 	b.inflight++
+	r.class.counts.Sent++
 	if b.ramp(s) < 1 {
 		s.credit -= a.cost
 	}
@@ -684,8 +686,10 @@
 	harmless := r.risky == 0 || c.Effect == Free || c.Effect == Guarded && c.Group == GroupAll
 	b.close(r)
 	if harmless {
+		c.counts.Refused++
 		b.do(Action{Kind: ActRefuse, Request: r.id, Ms: b.set.Limits.MaxRetryAfterMs})
 	} else {
+		c.counts.Failed++
 		b.do(Action{Kind: ActFail, Request: r.id})
 	}
 }
@@ -716,6 +720,7 @@
 	a := r.attempts[ev.Attempt]
 	s := a.s
 	a.done = true
+	b.outcomes.add(ev.Status)
 	r.open--
 	b.inflight--
 	if a.stuck {
@@ -821,7 +826,9 @@
 	s.rtt = mean(s.rtt, rtt, smooth)
 	c := r.class
 	r.class.expect = mean(r.class.expect, min(rtt, 2*c.AimMs), 4*slowSmooth)
+	c.counts.Served++
 	if b.now <= r.aimAt {
+		c.counts.InTime++
 		r.class.won += 1 - fade
 	}
 	x := b.partOfAim(r, rtt)
--- a/policy/reconfigure.go
+++ b/policy/reconfigure.go
@@ -56,7 +56,7 @@
 		if old == nil {
 			continue
 		}
-		c.expect, c.asked, c.won = old.expect, old.asked, old.won
+		c.expect, c.asked, c.won, c.counts = old.expect, old.asked, old.won, old.counts
 		renamed[old] = c
 		if old == worst {
 			b.worst = c
--- a/policy/state.go
+++ b/policy/state.go
@@ -65,6 +65,7 @@
 	expect float64 // mean answer time
 	asked  float64 // share of the requests of late
 	won    float64 // and of those served in time
+	counts ClassCounts
 }
 
 // classesOf gives the settings' classes, of which nothing is known yet, and their least aim.
@@ -198,6 +199,7 @@
 	ticking     bool
 	scarce      bool // requests that would take any server find no room
 	work        uint64
+	outcomes    OutcomeCounts
 }
 
 // Work is how many listed servers, entries of lists and held requests the decisions have
