--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,8 +36,10 @@
 	// keyMemory is over how many requests keys are counted, keySpread into how many parts
 	// a key is split that alone would be a server's even share: it is not alone there.
 	keyMemory, keySpread = 128, 4.0
-	maxStrikes           = 5 // bounds the doubling of a bad server's hold
-	longestHold          = 60000.0
+	// classMemory is over how many of its requests the share of a class served in time counts.
+	classMemory = 32
+	maxStrikes  = 5 // bounds the doubling of a bad server's hold
+	longestHold = 60000.0
 	// smooth is the weight of an answer in a server's mean, slowSmooth in a fleet-wide one;
 	// fade lets requests count less for shares with age, over about 500.
 	smooth, slowSmooth, fade = 0.2, 0.005, 0.998
@@ -165,6 +167,7 @@
 	case tickToken:
 		b.ticking = false
 		b.watchSilence()
+		b.callOffLate()
 		b.expire()
 	}
 }
@@ -228,7 +231,7 @@
 		v *= b.set.OverShareWorth
 	}
 	if b.set.WorthBy != "work" {
-		v /= r.class.expect
+		v /= c.expected(b.now)
 	}
 	return v
 }
@@ -379,9 +382,28 @@
 	}
 }
 
+// callOffLate ends requests that are out and can earn nothing any more while others wait for
+// their places: past their aim their answers are worth nothing, and a quarter of an agent's
+// attempts waited for slow servers up to their clients' deadlines while it refused requests.
+// What may not be repeated at will is waited for: nobody could tell whether it has run.
+func (b *Balancer) callOffLate() {
+	if !b.set.Limits.Cancelling || len(b.held) == 0 || b.underLimit() && !b.scarce {
+		return
+	}
+	b.visit(b.busy)
+	for _, s := range b.busy {
+		for _, a := range s.out {
+			r := a.r
+			if b.now >= r.aimAt && r.class.LateShare == 0 && repeatable(r.class) {
+				b.end(r)
+			}
+		}
+	}
+}
+
 // expected is how long an answer to the request takes, on the mean.
 func (b *Balancer) expected(r *request) float64 {
-	e := r.class.expect
+	e := r.class.expected(b.now)
 	if t := b.hintedTime(r); t > 0 {
 		e = max(t, e/4)
 	}
@@ -683,7 +705,7 @@
 	}
 	b.remember(r)
 	c := r.class
-	harmless := r.risky == 0 || c.Effect == Free || c.Effect == Guarded && c.Group == GroupAll
+	harmless := r.risky == 0 || repeatable(c)
 	b.close(r)
 	if harmless {
 		c.counts.Refused++
@@ -694,6 +716,11 @@
 	}
 }
 
+// repeatable tells whether a client may repeat a request of the class that may have run.
+func repeatable(c *class) bool {
+	return c.Effect == Free || c.Effect == Guarded && c.Group == GroupAll
+}
+
 // close forgets a finished request as soon as no attempt of it is out.
 func (b *Balancer) close(r *request) {
 	r.closed = true
@@ -823,13 +850,13 @@
 	s.fails -= failWeight * s.fails
 	b.learnHint(r, rtt)
 	b.heardFrom(s)
-	s.rtt = mean(s.rtt, rtt, smooth)
+	s.rtt = rtt
 	c := r.class
-	r.class.expect = mean(r.class.expect, min(rtt, 2*c.AimMs), 4*slowSmooth)
+	c.learn(b.now, rtt)
 	c.counts.Served++
 	if b.now <= r.aimAt {
 		c.counts.InTime++
-		r.class.won += 1 - fade
+		c.inTime += 1.0 / classMemory
 	}
 	x := b.partOfAim(r, rtt)
 	b.answers++
@@ -945,7 +972,7 @@
 
 func (b *Balancer) learn(s *server, x float64) {
 	s.samples++
-	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples)))
+	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples), 1-math.Exp((s.paceAt-b.now)/paceFade)))
 	b.learnPace(s, x)
 	b.weigh(s, x)
 }
--- a/policy/reconfigure.go
+++ b/policy/reconfigure.go
@@ -56,7 +56,8 @@
 		if old == nil {
 			continue
 		}
-		c.expect, c.asked, c.won, c.counts = old.expect, old.asked, old.won, old.counts
+		c.expect, c.expectAt, c.answers = old.expect, old.expectAt, old.answers
+		c.asked, c.inTime, c.counts = old.asked, old.inTime, old.counts
 		renamed[old] = c
 		if old == worst {
 			b.worst = c
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -78,7 +78,7 @@
 		held[r.class]++
 	}
 	for _, c := range b.classes {
-		s.Classes = append(s.Classes, ClassSnapshot{Name: c.Name, Counts: c.counts, Held: held[c], ExpectedMs: c.expect})
+		s.Classes = append(s.Classes, ClassSnapshot{Name: c.Name, Counts: c.counts, Held: held[c], ExpectedMs: c.expected(now)})
 	}
 	one := &request{class: b.classes[0], arrived: now, aimAt: now}
 	for _, o := range b.servers {
--- a/policy/state.go
+++ b/policy/state.go
@@ -56,23 +56,51 @@
 	cost   float64
 	done   bool
 	stuck  bool // out on a server that fell silent under it
-	called bool // called off
+	called bool // called off, to be sent elsewhere
 }
 
 // class is a class of requests and what was learnt of it.
 type class struct {
 	Class
-	expect float64 // mean answer time
-	asked  float64 // share of the requests of late
-	won    float64 // and of those served in time
-	counts ClassCounts
+	expect   float64 // mean answer time, as of expectAt
+	expectAt float64
+	answers  float64 // served so far
+	asked    float64 // share of all requests of late
+	inTime   float64 // share of its last classMemory requests that were served within the aim
+	counts   ClassCounts
+}
+
+// calm is the answer time that a class of which nothing is known is held to have.
+func (c *class) calm() float64 { return c.AimMs * crowdShare / 2 }
+
+// learn takes an answer time into the class's mean, which follows the answers of the time
+// after which its clients give up.
+func (c *class) learn(now, rtt float64) {
+	c.answers++
+	elapsed := 1 - math.Exp((c.expectAt-now)/c.GiveUpMs)
+	c.expect = mean(c.expect, min(rtt, 2*c.AimMs), max(4*slowSmooth, 1/(c.answers+1), elapsed))
+	c.expectAt = now
+}
+
+// expected is the class's mean answer time. Late answers are forgotten over the time after
+// which clients give up: nobody waits any more for what was in the queues then. A class held
+// to be late for good is sent only when no other is held, and then nothing of it tells that
+// servers have become quick.
+func (c *class) expected(now float64) float64 {
+	calm := c.calm()
+	if c.expect <= calm {
+		return c.expect
+	}
+	return calm + (c.expect-calm)*math.Exp((c.expectAt-now)/c.GiveUpMs)
 }
 
 // classesOf gives the settings' classes, of which nothing is known yet, and their least aim.
 func classesOf(set *Settings) (all []*class, aimMin float64) {
 	aimMin = math.Inf(1)
 	for _, c := range set.Classes {
-		all = append(all, &class{Class: c, expect: c.AimMs * crowdShare / 2, asked: 1, won: 1})
+		of := &class{Class: c, asked: 1 / float64(len(set.Classes)), inTime: 1}
+		of.expect = of.calm()
+		all = append(all, of)
 		aimMin = min(aimMin, c.AimMs)
 	}
 	return all, aimMin
@@ -216,14 +244,14 @@
 	aims, all := 0.0, 0.0
 	for _, c := range b.classes {
 		c.asked *= fade
-		c.won *= fade
 		if c == of {
 			c.asked += 1 - fade
+			c.inTime -= c.inTime / classMemory
 		}
 		b.credit += c.asked * c.Credit
 		aims += c.asked * c.AimMs
 		all += c.asked
-		if c.won*b.worst.asked < b.worst.won*c.asked {
+		if c.inTime < b.worst.inTime {
 			b.worst = c
 		}
 	}
