Count abandoned attempts in the limit, and let it fall under its floor

Trace, all agents: in the tenth second 2,301 of 5,200 fare-checks sent and 884 in time, 2,368 time-outs a second, limit 2.13 an agent of a floor that had grown from 1.22 to 2.24 (279 agents, 174 servers); asked 5,300 a second at first, 14,000 then. Now: such attempts count until their server answers a later one or for as long as work stays with the servers, by an estimate that doubles while most go unanswered; a request like an unserved one is taken for its retry in the count of requests alone; cold servers count by their ramp beside warm ones; the limit falls to one attempt a server; unanswered attempts teach the class's expected time; one that was called off late demotes its server unless most are. Late attempts on cold servers are not called off.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,11 +46,16 @@
 	// failWeight is the weight of an attempt in its server's share of failures, failShare
 	// the least median of these shares with which failures are the fleet's, not a server's.
 	failWeight, failShare = 0.05, 0.01
+	// unansweredMost is the share of attempts that went unanswered up to their aim from which on
+	// that is the fleet's, not a server's.
+	unansweredMost = 0.5
 	// attemptsPerServer is how many attempts for each server all agents together may always
 	// have out: it keeps a server busy and is well under what makes one slower. A good answer
 	// adds limitGrowth to an agent's part, over those of a round trip; a late one takes up to
 	// limitCut off.
-	attemptsPerServer, limitGrowth, limitCut = 2.0, 0.3, 0.4
+	attemptsPerServer, limitGrowth, limitCut = 2.0, 0.2, 0.4
+	// leastAttempts is the same while answers are late.
+	leastAttempts = 1.0
 	// calmFactor is how many times its work a calm answer may take.
 	calmFactor = 4.0
 	// paceStep and fleetStep are the weights of an answer in what its server and the fleet
@@ -104,8 +109,7 @@
 	for i := range b.kinds {
 		b.kinds[i].weight = 1
 	}
-	b.classes, b.aimMin = classesOf(&set)
-	b.worst = b.classes[0]
+	b.takeClasses()
 	return b, nil
 }
 
@@ -192,15 +196,13 @@
 	}
 	left := finite(ev.LeftMs)
 	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
-	if ev.Retry {
-		r.first = b.recall(r)
-	}
+	retry := b.repeats(r, ev.Retry)
 	r.aimAt = min(r.first+c.AimMs+c.AimStretch*r.hint, r.deadline)
 	r.hash = b.split(r.key)
 	b.requests[r.id] = r
 	b.seen++
 	c.counts.Asked++
-	if !ev.Retry { // retries swell with trouble, and are foreseen nowhere
+	if !retry { // retries swell with trouble, and are foreseen nowhere
 		b.recent = b.recent*math.Exp((b.recentAt-b.now)/b.rateSpan()) + 1
 		b.recentAt = b.now
 	}
@@ -239,6 +241,7 @@
 // dispatch sends what is held as far as there is room: the most valuable first,
 // of equals the newest, as under overload the oldest would only end late.
 func (b *Balancer) dispatch() {
+	b.abandoned.settle(b.now)
 	b.work += uint64(len(b.held))
 	for _, r := range b.held {
 		r.value = b.value(r)
@@ -277,7 +280,7 @@
 // nothing out until they were forgotten: a whole fleet shut and opened in step, 54 requests
 // were out on 32 servers one second and 490 two seconds before, which tipped them.
 func (b *Balancer) underLimit() bool {
-	out, room := float64(b.inflight-b.stuck), b.limitFloor()*b.limitScale
+	out, room := float64(b.inflight-b.stuck+len(b.abandoned.all)), b.limitFloor()*b.limitScale
 	return out < max(room, 1) && (room >= 1 || b.now-b.triedAt >= b.meanRTT/room)
 }
 
@@ -286,7 +289,7 @@
 // all agents, an even one where they foresee none. One out at a time does no harm as long as
 // all agents may have one.
 func (b *Balancer) limitFloor() float64 {
-	all := attemptsPerServer * float64(b.ready)
+	all := attemptsPerServer * b.capacity()
 	even := all / float64(max(b.set.Replicas, 1))
 	quota := 0.0
 	for _, t := range b.set.Tenants {
@@ -309,7 +312,7 @@
 	if calm <= 0 || b.ready == 0 {
 		return rate // nothing was measured yet, or nobody can answer
 	}
-	return min(rate, attemptsPerServer*float64(b.ready)/calm)
+	return min(rate, attemptsPerServer*b.capacity()/calm)
 }
 
 // growLimit raises the limit after a good answer. Below one attempt it doubles (slow start),
@@ -356,7 +359,7 @@
 	}
 	switch {
 	case over > 0 && (st == OK || st == Full || st == Cancelled && !a.called || st == Timeout && !a.s.silent):
-		b.limitScale = max(b.limitScale*(1-limitCut*over), 1)
+		b.limitScale = max(b.limitScale*(1-limitCut*over), leastAttempts/attemptsPerServer)
 	case st == OK:
 		b.retryBudget = min(b.retryBudget+retryRatio, retryBurst)
 		if float64(2*(b.inflight+1)) >= limit {
@@ -392,6 +395,9 @@
 	}
 	b.visit(b.busy)
 	for _, s := range b.busy {
+		if b.ramp(s) < 1 {
+			continue // slow because it is cold: each further attempt would count against what it bears
+		}
 		for _, a := range s.out {
 			r := a.r
 			if b.now >= r.aimAt && r.class.LateShare == 0 && repeatable(r.class) {
@@ -553,18 +559,22 @@
 // last pick and has room.
 func (b *Balancer) takes(s *server, r *request) bool {
 	share := s.weight * b.ramp(s) / r.tierWeight
-	return float64(len(s.out)) < math.Ceil(capFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
+	most := math.Ceil(capFactor * float64(b.inflight+1) * share)
+	return float64(len(s.out)+s.abandoned) < most && b.hasRoom(s, r)
 }
 
 // hasRoom bounds what a server holds of this agent: its window, one at a time
 // until it is validated, and a cold server's credit.
 func (b *Balancer) hasRoom(s *server, r *request) bool {
 	if s.state >= UnhealthyPending {
-		return len(s.out) == 0
+		return len(s.out)+s.abandoned == 0
 	}
 	// A window under one is kept by pausing: with many agents even one attempt of
 	// each can be too much, and a server that tipped needs rest to recover.
-	if len(s.out) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
+	if len(s.out)+s.abandoned >= max(int(s.window), 1) {
+		return false
+	}
+	if s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
 		return false
 	}
 	if b.ramp(s) == 1 || s.credit >= b.cost(r) {
@@ -583,16 +593,6 @@
 	return len(s.out) == 0 && (b.answers > 0 || b.now-b.triedAt >= b.aimMin/min(b.limitFloor(), 1))
 }
 
-// ramp is the part of its capacity that a started server has by the contract.
-func (b *Balancer) ramp(s *server) float64 {
-	c := &b.set.Contract
-	age := b.now - s.startedAt
-	if s.startedAt <= 0 || age >= c.ColdMs || s.startedAt != s.listedAt && age > c.AskWithinMs {
-		return 1 // long past, or assumed and not borne out by the list in its time
-	}
-	return c.ColdFrom + (1-c.ColdFrom)*max(age, 0)/c.ColdMs
-}
-
 // coldShare is the part of an even share that a server may be sent: of a cold one what
 // keeps the contract, so that its keys move to it as it warms up.
 func (b *Balancer) coldShare(s *server) float64 {
@@ -762,6 +762,7 @@
 	if ev.Status.NeverRan() {
 		r.risky--
 	}
+	b.noteAnswered(a, ev.Status)
 	b.hangUp(s)
 	b.adapt(a, ev.Status, finite(ev.LatencyMs))
 	b.judge(a, ev.Status, finite(ev.LatencyMs))
@@ -826,6 +827,11 @@
 			s.lostAt = b.now
 		}
 	case Timeout:
+		b.abandoned.unanswered(rtt, abandonedMost*b.giveUpMost)
+		a.r.class.unanswered(b.now, rtt)
+		if !b.set.Limits.Cancelling && rtt > 0 {
+			b.abandoned.add(a)
+		}
 		// A server that answered others meanwhile is not to blame for a costly
 		// request; it counts as slow.
 		if s.heard > a.sentAt {
@@ -835,7 +841,11 @@
 			b.demote(s, true)
 		}
 	case Cancelled:
-		// Its client left: so long at least it takes. A silent server is demoted already.
+		// Its client left, or it was late: so long at least it takes.
+		a.r.class.unanswered(b.now, rtt)
+		if b.now >= a.r.aimAt && s.heard <= a.sentAt && b.unanswered < unansweredMost {
+			b.demote(s, true)
+		}
 		if x := b.partOfAim(a.r, rtt); x > b.pace(s) {
 			b.learnPace(s, x)
 		}
@@ -850,6 +860,8 @@
 	s.fails -= failWeight * s.fails
 	b.learnHint(r, rtt)
 	b.heardFrom(s)
+	b.abandoned.answered(rtt)
+	s.passed = max(s.passed, a.sentAt)
 	s.rtt = rtt
 	c := r.class
 	c.learn(b.now, rtt)
@@ -952,24 +964,6 @@
 	}
 }
 
-// hintedTime is what the line says for the request; 0 while little is known.
-func (b *Balancer) hintedTime(r *request) float64 {
-	if r.hint <= 0 || b.hints < 1/(4*slowSmooth) || b.hintVar <= 0 {
-		return 0
-	}
-	return max(b.hintTime+b.hintCov/b.hintVar*(r.hint-b.hintMean), 0)
-}
-
-// partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
-// request counts as one of mean work; a small one's time is mostly the network's.
-func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
-	x := rtt / r.class.AimMs
-	if r.hint > 0 {
-		x *= min(b.meanHint/r.hint, 1)
-	}
-	return min(x, 2)
-}
-
 func (b *Balancer) learn(s *server, x float64) {
 	s.samples++
 	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples), 1-math.Exp((s.paceAt-b.now)/paceFade)))
@@ -1205,7 +1199,7 @@
 	}
 	floor := b.limitFloor()
 	limit := floor * b.limitScale
-	b.ready = 0
+	b.ready, b.capacityAt = 0, math.Inf(-1)
 	b.visit(b.servers)
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
 		if s.usable {
--- a/policy/reconfigure.go
+++ b/policy/reconfigure.go
@@ -48,8 +48,7 @@
 		byName[c.Name] = c
 	}
 	worst := b.worst
-	b.classes, b.aimMin = classesOf(&b.set)
-	b.worst = b.classes[0]
+	b.takeClasses()
 	renamed := map[*class]*class{}
 	for _, c := range b.classes {
 		old := byName[c.Name]
--- a/policy/recovery_test.go
+++ b/policy/recovery_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"testing"
 )
 
@@ -51,6 +52,29 @@
 	}
 }
 
+// Unanswered attempts are taken into what is expected, and yet a third of the servers that
+// answer nothing does not make a class seem late that the others answer at once.
+func TestUnansweredAttemptsCountInExpectedTime(t *testing.T) {
+	expect := func(unanswered int) float64 {
+		c := newRig(t, testSettings(), 1).b.classes[0]
+		for i := range 300 {
+			now := float64(i) * 20
+			if i%3 < unanswered {
+				c.unanswered(now, 600)
+			} else {
+				c.learn(now, 30)
+			}
+		}
+		return c.expected(6000)
+	}
+	if x := expect(1); x > 150 {
+		t.Errorf("a third unanswered: %v ms expected", x)
+	}
+	if x := expect(3); x < 300 {
+		t.Errorf("all unanswered: %v ms expected", x)
+	}
+}
+
 // Under a window below one the pause follows the last answer: taken from the mean it was
 // seconds long after a crowd had passed, and nothing told that the server stood idle.
 func TestPauseFollowsTheLastAnswer(t *testing.T) {
@@ -132,3 +156,148 @@
 		t.Errorf("called off with nobody waiting: %+v", a)
 	}
 }
+
+// Where the settings allow no cancelling, an attempt that timed out still stands in its
+// server's queue. It counts in the limit until the server answers what was sent after it, or
+// until work does not stay with the servers for so long.
+func TestAbandonedAttemptsStayInTheLimit(t *testing.T) {
+	for _, cancelling := range []bool{false, true} {
+		set := testSettings()
+		set.Limits.Cancelling = cancelling
+		r := quick(t, set, 3)
+		r.b.abandoned.sojourn = 2000
+		id, s := r.sent(1, 5)
+		r.now += 600
+		r.outcome(id, 0, s, Timeout, 600)
+		if want := map[bool]int{false: 1, true: 0}[cancelling]; len(r.b.abandoned.all) != want {
+			t.Fatalf("cancelling %v: %d abandoned, want %d", cancelling, len(r.b.abandoned.all), want)
+		}
+		if cancelling {
+			continue
+		}
+		srv := r.b.byAddr[s]
+		if srv.abandoned != 1 {
+			t.Fatalf("its server holds %d abandoned", srv.abandoned)
+		}
+		limit := r.b.limitFloor() * r.b.limitScale
+		r.b.inflight = int(math.Ceil(limit)) - 1
+		if r.b.underLimit() {
+			t.Error("it does not count in the limit")
+		}
+		r.b.inflight = 0
+		srv.passed = r.now - 601
+		if r.b.abandoned.settle(r.now); srv.abandoned != 1 {
+			t.Error("over by an answer to what was sent before it")
+		}
+		srv.passed = r.now - 599
+		if r.b.abandoned.settle(r.now); srv.abandoned != 0 || len(r.b.abandoned.all) != 0 {
+			t.Error("not over by an answer to what was sent after it")
+		}
+	}
+	r := quick(t, testSettings(), 1)
+	s := r.b.servers[0]
+	add := func() { r.b.abandoned.add(&attempt{s: s, sentAt: r.now - 600}) }
+	r.b.abandoned.sojourn, s.passed = 1000, 0
+	add()
+	if r.b.abandoned.settle(r.now); s.abandoned != 1 {
+		t.Error("over too early")
+	}
+	if r.b.abandoned.settle(r.now + 401); s.abandoned != 0 {
+		t.Error("counts for ever")
+	}
+	add()
+	s.usable = false
+	if r.b.abandoned.settle(r.now); s.abandoned != 0 {
+		t.Error("counts on a server that is gone")
+	}
+}
+
+// The estimate of how long work stays with the servers runs up to its bound while most goes
+// unanswered, and is that of the answers while most is answered.
+func TestSojournEstimate(t *testing.T) {
+	estimate := func(answered func(i int) bool) float64 {
+		var l abandonedAttempts
+		for i := range 200 {
+			if answered(i) {
+				l.answered(30)
+			} else {
+				l.unanswered(300, 3000)
+			}
+		}
+		return l.sojourn
+	}
+	if x := estimate(func(i int) bool { return i%3 > 0 }); x > 450 {
+		t.Errorf("two in three answered after 30 ms: %v ms", x)
+	}
+	if x := estimate(func(i int) bool { return i%5 == 0 }); x < 1000 || x > 3000 {
+		t.Errorf("four in five unanswered: %v ms", x)
+	}
+	if x := estimate(func(i int) bool { return i > 100 }); x > 31 {
+		t.Errorf("answered again: %v ms", x)
+	}
+}
+
+// Where clients don't mark their retries, a request like an unserved one is not counted as
+// one more that the fleet has to bear: in a storm of retries every agent's part of what may be
+// out grew with them.
+func TestUnmarkedRetriesAreNotForeseen(t *testing.T) {
+	for _, marks := range []bool{false, true} {
+		set := testSettings()
+		set.Clients.MarksRetry = marks
+		r := newRig(t, set, 0) // nobody to send to: each is refused at its deadline
+		rate := func(key uint64) float64 {
+			before := r.b.recent
+			id, _ := r.ask(0, key)
+			r.do(Event{Kind: EvDropped, Request: id})
+			return r.b.recent - before
+		}
+		if got := rate(7); got != 1 {
+			t.Fatalf("the first counts %v", got)
+		}
+		if got, want := rate(7), map[bool]float64{false: 0, true: 1}[marks]; got != want {
+			t.Errorf("clients mark retries %v: the second with the key counts %v, want %v", marks, got, want)
+		}
+		if got := rate(8); got != 1 {
+			t.Errorf("another key counts %v", got)
+		}
+		if got := rate(0); got != 1 {
+			t.Errorf("no key counts %v", got)
+		}
+		if got := rate(0); got != 1 {
+			t.Errorf("no key again counts %v", got)
+		}
+	}
+}
+
+// Cold servers count in the agent's part of the limit by what they can do: what they may not
+// be sent yet the warm ones would be.
+func TestColdServersCountInPartBesideWarmOnes(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	whole := r.b.limitFloor()
+	cold := make([]Entry, 4)
+	for i := range cold {
+		cold[i] = Entry{Server: addr(4 + i), Health: Ready, Weight: 1, SinceMs: r.now}
+	}
+	r.list(ListDelta, cold...)
+	if got, want := r.b.limitFloor(), whole*(1+r.b.set.Contract.ColdFrom); math.Abs(got-want) > 1e-9 {
+		t.Errorf("with as many cold ones %v, want %v", got, want)
+	}
+	r.b.now += r.b.set.Contract.ColdMs
+	if got := r.b.limitFloor(); got != 2*whole {
+		t.Errorf("when they are warm %v, want %v", got, 2*whole)
+	}
+}
+
+// While answers are late an agent's part goes down to leastAttempts a server, and no further.
+func TestLimitFallsToItsLeast(t *testing.T) {
+	r := quick(t, testSettings(), 30)
+	least := leastAttempts / attemptsPerServer
+	for range 100 {
+		id, s := r.sent(0, 0)
+		r.now += 500
+		r.outcome(id, 0, s, OK, 500)
+	}
+	if r.b.limitScale != least {
+		t.Errorf("%v times its part, want %v", r.b.limitScale, least)
+	}
+}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -58,6 +58,8 @@
 	Floor       float64 // what the limit never falls below
 	Inflight    int     // attempts out, and of these on servers that fell silent
 	Stuck       int
+	Abandoned   int     // attempts that are not waited for and may still run
+	Sojourn     float64 // how long work is held to stay with the servers, in ms
 	Held        int
 	RetryBudget float64
 	CalmLatency float64 // mean answer times as parts of the aim: calm, and of late
@@ -72,6 +74,7 @@
 	b.now = now
 	floor := b.limitFloor()
 	s := Snapshot{Limit: floor * b.limitScale, Floor: floor, Inflight: b.inflight, Stuck: b.stuck,
+		Abandoned: len(b.abandoned.all), Sojourn: b.abandoned.sojourn,
 		Held: len(b.held), RetryBudget: b.retryBudget, Outcomes: b.outcomes, CalmLatency: b.calmLat, Latency: b.fleetPace}
 	held := map[*class]int{}
 	for _, r := range b.held {
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,6 +32,8 @@
 	good      int     // served since the last change of strikes
 	probing   bool
 	out       []*attempt // attempts out, oldest first
+	abandoned int        // attempts that it may still work on though nobody waits for them
+	passed    float64    // when the latest attempt was sent that it has answered
 	heard     float64    // when it last answered anything
 	lat       float64    // mean answer time as a part of the aim
 	samples   int
@@ -64,7 +66,7 @@
 	Class
 	expect   float64 // mean answer time, as of expectAt
 	expectAt float64
-	answers  float64 // served so far
+	answers  float64 // that it was learnt from
 	asked    float64 // share of all requests of late
 	inTime   float64 // share of its last classMemory requests that were served within the aim
 	counts   ClassCounts
@@ -76,12 +78,24 @@
 // learn takes an answer time into the class's mean, which follows the answers of the time
 // after which its clients give up.
 func (c *class) learn(now, rtt float64) {
+	weight := max(4*slowSmooth, 1/(c.answers+2))
+	if c.answers > 0 {
+		weight = max(weight, 1-math.Exp((c.expectAt-now)/c.GiveUpMs))
+	}
+	c.expect = mean(c.expect, min(rtt, 2*c.AimMs), weight)
 	c.answers++
-	elapsed := 1 - math.Exp((c.expectAt-now)/c.GiveUpMs)
-	c.expect = mean(c.expect, min(rtt, 2*c.AimMs), max(4*slowSmooth, 1/(c.answers+1), elapsed))
 	c.expectAt = now
 }
 
+// unanswered takes an attempt into the mean that was given up on after its age. What it would
+// have taken is not known, nor whether its server lives: it counts as twice the mean at most,
+// so that the mean runs away only where most go unanswered.
+func (c *class) unanswered(now, age float64) {
+	if expected := c.expected(now); age > expected {
+		c.learn(now, min(age, 2*expected))
+	}
+}
+
 // expected is the class's mean answer time. Late answers are forgotten over the time after
 // which clients give up: nobody waits any more for what was in the queues then. A class held
 // to be late for good is sent only when no other is held, and then nothing of it tells that
@@ -94,16 +108,17 @@
 	return calm + (c.expect-calm)*math.Exp((c.expectAt-now)/c.GiveUpMs)
 }
 
-// classesOf gives the settings' classes, of which nothing is known yet, and their least aim.
-func classesOf(set *Settings) (all []*class, aimMin float64) {
-	aimMin = math.Inf(1)
-	for _, c := range set.Classes {
-		of := &class{Class: c, asked: 1 / float64(len(set.Classes)), inTime: 1}
+// takeClasses makes the settings' classes those of the Balancer; nothing is known of them yet.
+func (b *Balancer) takeClasses() {
+	b.classes, b.aimMin, b.giveUpMost = nil, math.Inf(1), 0
+	for _, c := range b.set.Classes {
+		of := &class{Class: c, asked: 1 / float64(len(b.set.Classes)), inTime: 1}
 		of.expect = of.calm()
-		all = append(all, of)
-		aimMin = min(aimMin, c.AimMs)
+		b.classes = append(b.classes, of)
+		b.aimMin = min(b.aimMin, c.AimMs)
+		b.giveUpMost = max(b.giveUpMost, c.GiveUpMs)
 	}
-	return all, aimMin
+	b.worst = b.classes[0]
 }
 
 // request is one try of a client, kept until it is answered and no attempt is out.
@@ -187,6 +202,9 @@
 	epoch       uint64 // counts changes of tiers and list
 	inflight    int
 	stuck       int // of these, on servers that fell silent
+	abandoned   abandonedAttempts
+	unanswered  float64 // share of the attempts of late that their servers left unanswered
+	giveUpMost  float64 // the longest time after which clients give up
 	probes      int
 	classes     []*class
 	meanHint    float64
@@ -212,6 +230,8 @@
 	limitScale  float64 // how many times its share of attempts the agent may have out
 	retryBudget float64 // retry budget: attempts after a first that may still be made
 	ready       int     // servers listed as ready
+	capacityNow float64 // what they can do, as of capacityAt
+	capacityAt  float64
 	meanRTT     float64 // mean answer time
 	recent      float64 // requests of late, over the keepalive time, as of recentAt
 	recentAt    float64
@@ -307,9 +327,6 @@
 // remember keeps when an unserved request first came, so that its retry is
 // judged by the time that has passed for the client.
 func (b *Balancer) remember(r *request) {
-	if !b.set.Clients.MarksRetry {
-		return
-	}
 	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool {
 		return b.now-p.first > p.class.GiveUpMs
 	})
@@ -318,14 +335,65 @@
 	}
 }
 
-func (b *Balancer) recall(r *request) float64 {
+// recall finds and forgets the unserved request that this one repeats.
+func (b *Balancer) recall(r *request) (first float64, found bool) {
 	i := slices.IndexFunc(b.pasts, func(p past) bool { return p.class == r.class && p.key == r.key })
 	if i < 0 {
-		return r.arrived
+		return 0, false
 	}
-	first := b.pasts[i].first
+	first = b.pasts[i].first
 	b.pasts = slices.Delete(b.pasts, i, i+1)
-	return first
+	return first, true
+}
+
+// repeats tells whether the request seems to be a client's retry, and when its first try came.
+// Where clients don't mark their retries, a request with the class and the key of an unserved
+// one is held to be its retry: that is likely, not sure, so it is believed for the count of
+// requests alone.
+func (b *Balancer) repeats(r *request, marked bool) bool {
+	if !marked && (b.set.Clients.MarksRetry || r.key == 0) {
+		return false
+	}
+	first, found := b.recall(r)
+	if marked && found {
+		r.first = first
+	}
+	return marked || found
+}
+
+// noteAnswered keeps the share of attempts that went unanswered up to their aim, on servers that
+// answered no later ones either.
+func (b *Balancer) noteAnswered(a *attempt, st Status) {
+	none := 0.0
+	if st == Timeout || st == Cancelled {
+		if b.now < a.r.aimAt {
+			return // its client left early: that tells nothing
+		}
+		if a.s.heard <= a.sentAt {
+			none = 1
+		}
+	}
+	b.unanswered += failWeight * (none - b.unanswered)
+}
+
+// capacity is what the usable servers can do, in those of full capacity. Cold ones count in
+// part beside warm ones: their credit bounds what they are sent, and the rest of an even share
+// would be sent to the warm ones. Alone they count as servers.
+func (b *Balancer) capacity() float64 {
+	if b.capacityAt == b.now {
+		return b.capacityNow
+	}
+	b.capacityNow, b.capacityAt = float64(b.ready), b.now
+	if b.warmWeight() == 0 {
+		return b.capacityNow
+	}
+	b.visit(b.cold)
+	for _, s := range b.cold {
+		if s.usable {
+			b.capacityNow -= 1 - b.ramp(s)
+		}
+	}
+	return b.capacityNow
 }
 
 // warmWeight is the weight of the servers of the top tier that are not cold, counted
@@ -454,3 +522,31 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// ramp is the part of its capacity that a started server has by the contract.
+func (b *Balancer) ramp(s *server) float64 {
+	c := &b.set.Contract
+	age := b.now - s.startedAt
+	if s.startedAt <= 0 || age >= c.ColdMs || s.startedAt != s.listedAt && age > c.AskWithinMs {
+		return 1 // long past, or assumed and not borne out by the list in its time
+	}
+	return c.ColdFrom + (1-c.ColdFrom)*max(age, 0)/c.ColdMs
+}
+
+// partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
+// request counts as one of mean work; a small one's time is mostly the network's.
+func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
+	x := rtt / r.class.AimMs
+	if r.hint > 0 {
+		x *= min(b.meanHint/r.hint, 1)
+	}
+	return min(x, 2)
+}
+
+// hintedTime is what the line says for the request; 0 while little is known.
+func (b *Balancer) hintedTime(r *request) float64 {
+	if r.hint <= 0 || b.hints < 1/(4*slowSmooth) || b.hintVar <= 0 {
+		return 0
+	}
+	return max(b.hintTime+b.hintCov/b.hintVar*(r.hint-b.hintMean), 0)
+}
