--- a/internal/fleet/model/agent.go
+++ b/internal/fleet/model/agent.go
@@ -1,9 +1,10 @@
 package model
 
-import "molepaddle/policy"
+import (
+	"slices"
 
-// deadlineMs is what a client gives a request.
-const deadlineMs = 1000
+	"molepaddle/policy"
+)
 
 // client asks its agent at a rate of its own; it outlives the agent's process.
 type client struct {
@@ -25,8 +26,7 @@
 type agent struct {
 	m      *Model
 	client *client
-	b      *policy.Balancer
-	aim    float64
+	b      decider
 	reqs   map[policy.RequestID]*request
 	out    int              // attempts out
 	conns  map[*server]int  // the server's process that it has a connection to
@@ -38,10 +38,13 @@
 type request struct {
 	agent   *agent
 	id      policy.RequestID
+	class   int
+	tenant  int
+	key     uint64
 	cameAt  float64
 	tries   int
 	final   bool
-	retried bool
+	retries int // of its client so far
 	out     *try
 }
 
@@ -80,15 +83,20 @@
 	if m.cfg.ToldService {
 		set.Index, set.Replicas, quota = c.inService, c.replicas, 1000*c.quota
 	}
-	if len(set.Tenants) > 0 {
-		set.Tenants = []policy.Tenant{{Name: set.Tenants[0].Name, QuotaPerS: quota, Portion: 1}}
+	set.Tenants = slices.Clone(set.Tenants)
+	for i := range set.Tenants {
+		t := &set.Tenants[i]
+		if len(set.Tenants) == 1 {
+			t.Portion = 1
+		}
+		t.QuotaPerS = quota * t.Portion
 	}
-	b, err := policy.New(set, m.cfg.Seed<<16+uint64(c.number)+c.starts<<40)
+	b, err := c.decider(set, m.cfg.Seed<<16+uint64(c.number)+c.starts<<40)
 	if err != nil {
 		return err
 	}
 	c.starts++
-	c.agent = &agent{m: m, client: c, b: b, aim: set.Classes[0].AimMs, reqs: map[policy.RequestID]*request{},
+	c.agent = &agent{m: m, client: c, b: b, reqs: map[policy.RequestID]*request{},
 		conns: map[*server]int{}, knows: map[*server]bool{}}
 	return nil
 }
@@ -113,24 +121,26 @@
 		return
 	}
 	if peak := m.cfg.Peak; !c.lost && (peak <= 1 || m.rng.Float64()*peak < m.burst) {
-		c.ask(m.now, false)
+		c.ask(m.draw())
 	}
 	m.at(m.now+c.pause(), c)
 }
 
 // ask is a client's request; one that is turned away comes once more after the advice.
-func (c *client) ask(first float64, retry bool) {
+func (c *client) ask(r *request) {
 	m, a := c.m, c.agent
 	m.next++
-	r := &request{agent: a, id: m.next, cameAt: first, retried: retry}
+	r.id, r.agent = m.next, a
 	a.reqs[r.id] = r
-	if !retry {
+	if r.retries == 0 {
 		m.second().Asked++
+		m.shares.asked(r)
 	}
-	a.handle(policy.Event{Kind: policy.EvRequest, Request: r.id, Key: 1 + m.rng.Uint64N(400), LeftMs: deadlineMs,
-		Retry: retry})
+	left := m.patience(r.class)
+	a.handle(policy.Event{Kind: policy.EvRequest, Request: r.id, Class: r.class, Tenant: r.tenant, Key: r.key,
+		LeftMs: left, Retry: r.retries > 0 && m.cfg.Settings.Clients.MarksRetry})
 	m.mostHeld = max(m.mostHeld, len(a.reqs)-a.out)
-	m.queue.pushLate(m.now+deadlineMs, (*deadline)(r))
+	m.queue.pushLate(m.now+left, (*deadline)(r))
 }
 
 func (d *deadline) happen(*Model) {
@@ -140,6 +150,7 @@
 	}
 	r.final = true
 	r.agent.handle(policy.Event{Kind: policy.EvDropped, Request: r.id})
+	r.agent.client.askAgain(r)
 	r.forget()
 }
 
@@ -203,20 +214,34 @@
 }
 
 // giveUp is the module's answer to a request that it does not serve. A client comes again
-// once after a refusal.
+// after a refusal.
 func (r *request) giveUp(refused bool) {
 	m := r.agent.m
 	r.final = true
 	switch {
-	case refused && r.retried:
+	case refused && r.retries > 0:
 		m.secondOf(r.cameAt).Refused++
 	case refused:
 		m.secondOf(r.cameAt).TurnedAway++
-		m.after(30+200*m.rng.Float64(), func() { r.agent.client.ask(r.cameAt, true) })
+	}
+	if refused {
+		r.agent.client.askAgain(r)
 	}
 	r.forget()
 }
 
+// askAgain is a client's retry of an unserved request, after a while and within the time after
+// which it gives up.
+func (c *client) askAgain(r *request) {
+	m := c.m
+	wait := 30 + 200*m.rng.Float64()
+	if r.retries >= max(m.cfg.Retries, 1) || m.now+wait >= r.cameAt+m.cfg.Settings.Classes[r.class].GiveUpMs {
+		return
+	}
+	again := &request{class: r.class, tenant: r.tenant, key: r.key, cameAt: r.cameAt, retries: r.retries + 1}
+	m.after(wait, func() { c.ask(again) })
+}
+
 // callDiscovery asks for the list. What waits too long at discovery is work for nobody.
 func (a *agent) callDiscovery() {
 	m := a.m
@@ -276,7 +301,7 @@
 	sec.Sends++
 	if r.tries > 0 {
 		sec.Again++
-	} else if !r.retried {
+	} else if r.retries == 0 {
 		m.waits.add(m.now - r.cameAt)
 	}
 	if s.zone != a.client.zone {
@@ -317,8 +342,9 @@
 	}
 	if st == policy.OK && !r.final && !a.ended {
 		r.final = true
-		if m.now-r.cameAt <= a.aim {
+		if m.now-r.cameAt <= m.cfg.Settings.Classes[r.class].AimMs {
 			m.second().Won++
+			m.shares.served(r)
 			m.secondOf(r.cameAt).Served++
 		}
 	}
--- a/internal/fleet/model/days.go
+++ b/internal/fleet/model/days.go
@@ -17,6 +17,8 @@
 	noticeMs = 2000.0
 	// zoneMs is how long a zone is lost, cutMs how long a region is cut off.
 	zoneMs, cutMs = 4000.0, 6000.0
+	// halfMs is for how long half of the servers are lost.
+	halfMs = 5000.0
 	// racks is how many racks a zone's machines stand in, rackPart which of them is lost.
 	racks, rackPart = 14, 3
 	// replacedPart is the part of the servers replaced on an ordinary day, here all within
@@ -44,6 +46,7 @@
 		{"rack", "a rack's machines vanish silently, discovery tells 2 s later", nil, (*Model).loseRack},
 		{"zone", "a zone's machines vanish for 4 s and return cold; its traffic goes to the others meanwhile",
 			lostZonePeak, (*Model).loseZone},
+		{"half", "every second server of each service vanishes for 5 s and returns cold", nil, (*Model).loseHalf},
 		{"region", "a region reaches no other for 6 s, both ways; lists stay as they are", nil, (*Model).cutRegion},
 		{"replace", "8% of the servers are replaced within 3 s by new ones, which are cold", nil,
 			func(m *Model) { m.replace(replacedPart) }},
@@ -67,6 +70,7 @@
 		return nil, err
 	}
 	m.waits, m.mostHeld = newWaits(), 0
+	m.shares.begin(&m.cfg, m.now)
 	if d.happen != nil {
 		d.happen(m)
 	}
@@ -112,6 +116,7 @@
 		"servers": float64(m.cfg.Servers), "services": float64(m.cfg.Services), "rate": m.cfg.Rate}}
 	c.Add("requests", "count", float64(sum.Asked))
 	c.Add("worth served", "share", float64(sum.Served)/asked)
+	m.addShares(c)
 	c.Add("worth served in the worst second", "share", worst)
 	c.Add("turned away at first", "share", float64(sum.TurnedAway)/asked)
 	c.Add("refused for good", "share", float64(sum.Refused)/asked)
@@ -199,6 +204,18 @@
 	m.announce(servers)
 }
 
+// loseHalf takes every second server of each service; services of one server keep it.
+func (m *Model) loseHalf() {
+	var half []*server
+	for _, v := range m.services {
+		for i := 1; i < len(v.servers); i += 2 {
+			half = append(half, v.servers[i])
+		}
+	}
+	m.lose(half)
+	m.after(halfMs, func() { m.restart(half) })
+}
+
 func (m *Model) cutRegion() {
 	m.cut[0] = true
 	m.after(cutMs, func() { m.cut[0] = false })
--- a/internal/fleet/model/days_test.go
+++ b/internal/fleet/model/days_test.go
@@ -77,7 +77,7 @@
 	}
 	const cold = "cold server's load to its budget, most"
 	for name, want := range map[string]bool{"calm": false, "rack": false, "region": false,
-		"zone": true, "replace": true, "cold": true, "start": true} {
+		"half": true, "zone": true, "replace": true, "cold": true, "start": true} {
 		if got := figure(t, days[name], cold) > 0; got != want {
 			t.Errorf("%s: cold servers met: %v", name, got)
 		}
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -39,6 +39,14 @@
 	ListMs                             float64 // an agent is told of a change of the list within this
 	CallMs                             float64 // discovery's work for a call; it takes calls in turn
 	Seed                               uint64
+	// Traffic tells what is asked of each of the settings' classes; none: all of the first.
+	Traffic []Traffic
+	Retries int // of a client for a request that is not served; at least one
+	// RunsOn has servers work on what nobody waits for any more.
+	RunsOn bool
+	// LateView has agents decide by what the servers really hold, seen late, in place of the
+	// module: what the module is measured against.
+	LateView bool
 	// Settings are those of each agent but for its index, its zone, the replicas and the quota.
 	Settings policy.Settings
 	// ToldService has the settings' replicas and quota be those of the agent's service, not of
@@ -111,6 +119,8 @@
 	queue    queue
 	seconds  []Count
 	waits    *waits
+	shares   *shares
+	viewedAt float64 // when agents last saw the servers that see them late
 	next     policy.RequestID
 	burst    float64 // how many times their rate the clients ask
 	stopped  bool    // the clients ask no more
@@ -131,7 +141,7 @@
 	case cfg.Servers < cfg.Services:
 		return fleet.Usage("servers", "must be at least as many as the %d services, is %d", cfg.Services, cfg.Servers)
 	}
-	return nil
+	return cfg.validateTraffic()
 }
 
 // New makes a fleet. Nothing happens before it is booted and played.
@@ -140,7 +150,7 @@
 		return nil, err
 	}
 	m := &Model{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 11)), now: Start, burst: 1,
-		cut: make([]bool, cfg.Regions), waits: newWaits()}
+		cut: make([]bool, cfg.Regions), waits: newWaits(), shares: newShares(&cfg), viewedAt: math.Inf(-1)}
 	layout := rand.New(rand.NewPCG(cfg.Seed, 12)) // apart, so that the layout leaves the play's draws alone
 	servers, agents := divide(cfg.Servers, cfg.Services), divide(cfg.Agents, cfg.Services)
 	for k := range cfg.Services {
--- a/internal/fleet/model/server.go
+++ b/internal/fleet/model/server.go
@@ -35,6 +35,7 @@
 	choked  bool
 	got     []float64 // times at which attempts came, if they are kept
 	cold    coldLoad
+	seen    view // what agents see that see it late
 }
 
 // coldLoad is what came to a cold server in the last window of the contract.
@@ -195,7 +196,7 @@
 // leave takes an attempt that is no longer waited for out of the queue. One that is being
 // served is served to its end.
 func (s *server) leave(t *try) {
-	if t.waiting {
+	if t.waiting && !s.m.cfg.RunsOn {
 		t.waiting = false
 		s.hold(-1)
 	}
@@ -226,7 +227,7 @@
 		s.queue = s.queue[1:]
 		t.waiting, t.process = false, s.process
 		s.busy++
-		m.at(m.now+m.rng.ExpFloat64()*m.cfg.WorkMs/s.capacity(m.now), (*finished)(t))
+		m.at(m.now+m.rng.ExpFloat64()*m.workOf(t.req.class)/s.capacity(m.now), (*finished)(t))
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/model/traffic.go
@@ -0,0 +1,160 @@
+package model
+
+import (
+	"math"
+
+	"molepaddle/internal/fleet"
+	"molepaddle/policy"
+)
+
+// deadlineMs is what a client gives a request where the configuration tells of no traffic.
+const deadlineMs = 1000
+
+// Traffic is what is asked of one class.
+type Traffic struct {
+	Share float64 // of all requests
+	Work  float64 // of its requests, in those of mean work
+}
+
+// validateTraffic reports traffic that does not fit the settings' classes.
+func (cfg *Config) validateTraffic() error {
+	if len(cfg.Traffic) == 0 {
+		return nil
+	}
+	if len(cfg.Traffic) != len(cfg.Settings.Classes) {
+		return fleet.Usage("traffic", "must be of %d classes, is of %d", len(cfg.Settings.Classes), len(cfg.Traffic))
+	}
+	shares, work := 0.0, 0.0
+	for _, t := range cfg.Traffic {
+		if !(t.Share >= 0) || !(t.Work > 0) {
+			return fleet.Usage("traffic", "shares must be 0 or above and work above 0, are %v and %v", t.Share, t.Work)
+		}
+		shares += t.Share
+		work += t.Share * t.Work
+	}
+	if math.Abs(shares-1) > 1e-6 || math.Abs(work-1) > 1e-6 {
+		return fleet.Usage("traffic", "shares must add up to 1 and mean work be 1, are %v and %v", shares, work)
+	}
+	return nil
+}
+
+// draw is a client's new request.
+func (m *Model) draw() *request {
+	return &request{class: m.drawClass(), tenant: m.drawTenant(), key: 1 + m.rng.Uint64N(400), cameAt: m.now}
+}
+
+func (m *Model) drawClass() int {
+	if len(m.cfg.Traffic) < 2 {
+		return 0
+	}
+	at := m.rng.Float64()
+	for i, t := range m.cfg.Traffic {
+		if at -= t.Share; at < 0 {
+			return i
+		}
+	}
+	return len(m.cfg.Traffic) - 1
+}
+
+func (m *Model) drawTenant() int {
+	tenants := m.cfg.Settings.Tenants
+	if len(tenants) < 2 {
+		return 0
+	}
+	at := m.rng.Float64()
+	for i, t := range tenants {
+		if at -= t.Portion; at < 0 {
+			return i
+		}
+	}
+	return len(tenants) - 1
+}
+
+// tryShare is the part of the time after which it gives up that a client waits for a try.
+const tryShare = 0.6
+
+// patience is how long a client waits for a try.
+func (m *Model) patience(class int) float64 {
+	if len(m.cfg.Traffic) == 0 {
+		return deadlineMs
+	}
+	return tryShare * m.cfg.Settings.Classes[class].GiveUpMs
+}
+
+// workOf is the mean work of a class's requests.
+func (m *Model) workOf(class int) float64 {
+	if len(m.cfg.Traffic) == 0 {
+		return m.cfg.WorkMs
+	}
+	return m.cfg.WorkMs * m.cfg.Traffic[class].Work
+}
+
+// share counts requests and those of them that were served within their aim.
+type share struct{ asked, served int }
+
+func (s share) part() float64 { return float64(s.served) / float64(max(s.asked, 1)) }
+
+// shares are the parts served of each class, tenant and effect, by the time at which a
+// request first came.
+type shares struct {
+	classes []policy.Class
+	from    float64 // requests that came before don't count
+	class   []share
+	tenant  []share
+	effect  map[policy.Effect]*share
+}
+
+func newShares(cfg *Config) *shares {
+	s := &shares{classes: cfg.Settings.Classes, from: math.Inf(-1), class: make([]share, len(cfg.Settings.Classes)),
+		tenant: make([]share, max(len(cfg.Settings.Tenants), 1)), effect: map[policy.Effect]*share{}}
+	for _, c := range s.classes {
+		s.effect[c.Effect] = &share{}
+	}
+	return s
+}
+
+// begin forgets what was counted, and what came before the time from.
+func (s *shares) begin(cfg *Config, from float64) {
+	*s = *newShares(cfg)
+	s.from = from
+}
+
+// counts are those that a request counts in.
+func (s *shares) counts(r *request) []*share {
+	if r.cameAt < s.from {
+		return nil
+	}
+	return []*share{&s.class[r.class], &s.tenant[r.tenant], s.effect[s.classes[r.class].Effect]}
+}
+
+func (s *shares) asked(r *request) {
+	for _, c := range s.counts(r) {
+		c.asked++
+	}
+}
+
+func (s *shares) served(r *request) {
+	for _, c := range s.counts(r) {
+		c.served++
+	}
+}
+
+// addShares adds what was served of each class, tenant and effect, where there are several.
+func (m *Model) addShares(c *fleet.Case) {
+	set := &m.cfg.Settings
+	if len(set.Classes) > 1 {
+		for i, class := range set.Classes {
+			c.Add("served of class "+class.Name, "share", m.shares.class[i].part())
+		}
+		for _, effect := range []policy.Effect{policy.Free, policy.Guarded, policy.SingleShot} {
+			if s := m.shares.effect[effect]; s != nil {
+				c.Add("served of effect "+string(effect), "share", s.part())
+			}
+		}
+	}
+	if len(set.Tenants) > 1 {
+		for i, tenant := range set.Tenants {
+			c.Add("served of tenant "+tenant.Name, "share", m.shares.tenant[i].part())
+		}
+	}
+}
