--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,13 +17,13 @@
 	// crowdShare is the part of the aim that a server's mean answer time may take.
 	crowdShare = 0.5
 	// crowdFactor is how many times the fleet's calm answer time a calm server's may be.
-	crowdFactor = 1.5
-	firstWindow = 2.0 // attempts an unmeasured server may hold
-	// learnFor is the number of answers that make the first measure of calm; until
+	crowdFactor   = 1.5
+	initialWindow = 2.0 // attempts an unmeasured server may hold
+	// calmSamples is the number of answers that make the first measure of calm; until
 	// then no window grows, so that a start does not crowd what it measures.
-	learnFor = 50
-	// leastWindow is left to the most crowded server: enough to see when it is not.
-	leastWindow, tipFactor = 0.1, 2.5
+	calmSamples = 50
+	// minWindow is left to the most crowded server: enough to see when it is not.
+	minWindow, tipFactor = 0.1, 2.5
 	// keyWait is the part of its aim that a request may wait for one of the keyServers
 	// nearest its key: going on at once would lose the warm key just when time is short.
 	keyWait, keyServers = 0.25, 2
@@ -37,9 +37,9 @@
 	// a key is split that alone would be a server's even share: it is not alone there.
 	keyMemory, keySpread = 128, 4.0
 	// classMemory is over how many of its requests the share of a class served in time counts.
-	classMemory = 32
-	maxStrikes  = 5 // bounds the doubling of a bad server's hold
-	longestHold = 60000.0
+	classMemory   = 32
+	maxEjections  = 5 // bounds the doubling of a bad server's ejection time
+	maxEjectionMs = 60000.0
 	// smooth is the weight of an answer in a server's mean, slowSmooth in a fleet-wide one;
 	// fade lets requests count less for shares with age, over about 500.
 	smooth, slowSmooth, fade = 0.2, 0.005, 0.998
@@ -70,11 +70,11 @@
 	leastServers = 16
 	// maxHeld bounds the requests held for room, and so the work of a decision.
 	maxHeld = 512
-	// coldBurst bounds what a cold server's credit saves up: all may spend it at once.
-	coldBurst = 1.0
-	// coldMargin is what an even share may cost a cold server, in its present capacity:
+	// slowStartBurst bounds what a cold server's credit saves up: all may spend it at once.
+	slowStartBurst = 1.0
+	// slowStartMargin is what an even share may cost a cold server, in its present capacity:
 	// warm ones may be crowded by half and save two thirds by their warm keys.
-	coldMargin = 5.0
+	slowStartMargin = 5.0
 	// probeCap bounds the validations under way at once.
 	probeCap = 2
 
@@ -170,7 +170,7 @@
 		b.do(Action{Kind: ActFollow})
 	case tickToken:
 		b.ticking = false
-		b.watchSilence()
+		b.ejectSilent()
 		b.callOffLate()
 		b.expire()
 	}
@@ -393,7 +393,7 @@
 	if !b.set.Limits.Cancelling || len(b.held) == 0 || b.underLimit() && !b.scarce {
 		return
 	}
-	b.visit(b.busy)
+	b.countWork(b.busy)
 	for _, s := range b.busy {
 		if b.ramp(s) < 1 {
 			continue // slow because it is cold: each further attempt would count against what it bears
@@ -484,7 +484,7 @@
 // subset is how many servers of a tier, in an order of its own, an agent sends to: those
 // it can meet every few seconds. A quiet agent met each server of the fleet once a minute:
 // it opened a connection for each request and could not learn which were slow or hung
-// (id753de). Orders differ, so each server keeps its share; keys find theirs within. Where
+// . Orders differ, so each server keeps its share; keys find theirs within. Where
 // connections have no price, more servers keep more keys warm.
 func (b *Balancer) subset() int {
 	n := b.recent
@@ -502,7 +502,7 @@
 }
 
 // split gives a key the hash that orders the servers for it. A popular key is split into
-// parts, each with its own order: one was twenty times what its server can do (id753de),
+// parts, each with its own order: one was twenty times what its server can do,
 // and with one request out the cap sees nothing of that. The fewer agents share a server,
 // the more each sees, and is left to the cap.
 func (b *Balancer) split(key uint64) uint64 {
@@ -521,7 +521,7 @@
 func (b *Balancer) score(r *request, s *server) float64 {
 	x := mix(r.hash ^ s.hash)
 	u := float64(x>>11) / (1 << 53)
-	w := s.weight * b.kinds[s.kind&255].weight * min(4*b.coldShare(s), 1) // its credit limits it
+	w := s.weight * b.kinds[s.kind&255].weight * min(4*b.slowStartShare(s), 1) // its credit limits it
 	w *= b.pacing(s)
 	if s.zone == b.set.Zone {
 		w *= b.home
@@ -584,7 +584,7 @@
 		return false
 	}
 	if b.flow > 0 {
-		return (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >= b.cost(r)*b.set.Contract.ColdMs
+		return (b.now-s.sentAt)*b.flow*s.weight*b.slowStartShare(s) >= b.cost(r)*b.set.Contract.ColdMs
 	}
 	// It never met a warm server, so nothing tells what a cold one may be sent: no more than
 	// it answers, as one attempt of this agent at a time waits there and the limit bounds them
@@ -593,17 +593,17 @@
 	return len(s.out) == 0 && (b.answers > 0 || b.now-b.triedAt >= b.aimMin/min(b.limitFloor(), 1))
 }
 
-// coldShare is the part of an even share that a server may be sent: of a cold one what
+// slowStartShare is the part of an even share that a server may be sent: of a cold one what
 // keeps the contract, so that its keys move to it as it warms up.
-func (b *Balancer) coldShare(s *server) float64 {
+func (b *Balancer) slowStartShare(s *server) float64 {
 	if k := b.ramp(s); k < 1 {
-		return k * b.set.Contract.FallMultiple / coldMargin
+		return k * b.set.Contract.FallMultiple / slowStartMargin
 	}
 	return 1
 }
 
 // cost is the work of a request in units of the mean one, and never less: hints are
-// rough, and a cold server would be sent the small ones that are not (i299663).
+// rough, and a cold server would be sent the small ones that are not.
 func (b *Balancer) cost(r *request) float64 {
 	if r.hint > b.meanHint {
 		return r.hint / b.meanHint
@@ -625,7 +625,7 @@
 			return false // further attempts go elsewhere
 		}
 	}
-	if r.risky == 0 {
+	if r.mayHaveRun == 0 {
 		return true
 	}
 	c := r.class
@@ -655,12 +655,12 @@
 	r.attempts = append(r.attempts, a)
 	r.open++
 	within := 0.0
-	if r.risky == 0 {
+	if r.mayHaveRun == 0 {
 		r.ranAt, r.ranOn = b.now, s
 	} else if r.class.Effect == Guarded {
 		within = b.repeatWithin(r)
 	}
-	r.risky++
+	r.mayHaveRun++
 	s.out = append(s.out, a)
 	b.busy.add(s)
 	if s.sentAt > 0 {
@@ -679,7 +679,7 @@
 // earn keeps each cold server's credit: for all that warm servers have served it
 // may get its share by weight and ramp. Then the servers' shares of all agents
 // together stay in proportion to what they can do, without any agreement. What was
-// turned away earns nothing: in a storm it made cold servers' shares ninefold (i86bcad).
+// turned away earns nothing: in a storm it made cold servers' shares ninefold.
 func (b *Balancer) earn(s *server, cost float64) {
 	if b.ramp(s) < 1 {
 		return
@@ -689,10 +689,10 @@
 		b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
 		b.flowAt = b.now
 	}
-	b.visit(b.cold)
+	b.countWork(b.cold)
 	for _, o := range b.cold {
 		if b.ramp(o) < 1 && warm > 0 {
-			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
+			o.credit = min(o.credit+cost*b.slowStartShare(o)*o.weight/warm, slowStartBurst)
 		}
 	}
 }
@@ -705,7 +705,7 @@
 	}
 	b.remember(r)
 	c := r.class
-	harmless := r.risky == 0 || repeatable(c)
+	harmless := r.mayHaveRun == 0 || repeatable(c)
 	b.close(r)
 	if harmless {
 		c.counts.Refused++
@@ -760,24 +760,24 @@
 		b.busy.remove(s)
 	}
 	if ev.Status.NeverRan() {
-		r.risky--
+		r.mayHaveRun--
 	}
 	b.noteAnswered(a, ev.Status)
-	b.hangUp(s)
+	b.closeIdle(s)
 	b.adapt(a, ev.Status, finite(ev.LatencyMs))
-	b.judge(a, ev.Status, finite(ev.LatencyMs))
+	b.recordOutcome(a, ev.Status, finite(ev.LatencyMs))
 	if r.closed || r.started || ev.Final || ev.Status == OK {
 		b.close(r)
 	} else {
-		b.further(r, ev.Status)
+		b.retry(r, ev.Status)
 	}
 }
 
-// hangUp closes a server's idle connections where keeping them costs more than opening
+// closeIdle closes a server's idle connections where keeping them costs more than opening
 // one again, when this agent comes back to the server as seldom as its last sends say.
 // All agents' requests are taken for this one's times their number. A thousand agents
-// that each met every server kept 400 connections a server open (i5db14f).
-func (b *Balancer) hangUp(s *server) {
+// that each met every server kept 400 connections a server open.
+func (b *Balancer) closeIdle(s *server) {
 	p := &b.set.Prices
 	all := b.seen / max(b.now-b.began, 1) * float64(b.set.Replicas) // requests a ms
 	if p.Connection > 0 && len(s.out) == 0 &&
@@ -786,13 +786,13 @@
 	}
 }
 
-// further holds an unanswered request for another server where class, time and the retry
+// retry holds an unanswered request for another server where class, time and the retry
 // budget allow, or ends it. It competes with first tries, so that trouble does not multiply
 // the load: with a request or two out at each of a thousand agents no window holds back
-// what all send on together (i86bcad).
-func (b *Balancer) further(r *request, why Status) {
+// what all send on together.
+func (b *Balancer) retry(r *request, why Status) {
 	c := r.class
-	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
+	able := r.mayHaveRun == 0 || c.Effect == Free || c.Effect == Guarded
 	price := 1.0
 	if why == ConnectFailed {
 		price = 0 // no server was asked for anything
@@ -806,8 +806,8 @@
 	b.held = append(b.held, r)
 }
 
-// judge takes what an attempt's end says about its server.
-func (b *Balancer) judge(a *attempt, st Status, rtt float64) {
+// recordOutcome takes what an attempt's end says about its server.
+func (b *Balancer) recordOutcome(a *attempt, st Status, rtt float64) {
 	s := a.s
 	switch st {
 	case OK:
@@ -859,7 +859,7 @@
 	s, r := a.s, a.r
 	s.fails -= failWeight * s.fails
 	b.learnHint(r, rtt)
-	b.heardFrom(s)
+	b.recordAnswer(s)
 	b.abandoned.answered(rtt)
 	s.passed = max(s.passed, a.sentAt)
 	s.rtt = rtt
@@ -874,8 +874,8 @@
 	b.answers++
 	b.fleetLat = mean(b.fleetLat, x, max(slowSmooth, 1/b.answers))
 	switch {
-	case b.answers <= learnFor:
-		// One quick answer must not set the measure, nor a crowd at the start (id08146).
+	case b.answers <= calmSamples:
+		// One quick answer must not set the measure, nor a crowd at the start.
 		b.calmLat = min(b.fleetLat, crowdShare/2)
 	case b.fleetLat < b.calmLat:
 		b.calmLat = mean(b.calmLat, b.fleetLat, slowSmooth)
@@ -891,19 +891,19 @@
 		b.enter(s, Connected)
 	}
 	if s.silent {
-		s.silent, s.strikes = false, max(s.strikes-1, 0)
+		s.silent, s.ejections = false, max(s.ejections-1, 0)
 	}
-	if s.good++; s.good >= 16*s.strikes {
-		s.good, s.strikes = 0, max(s.strikes-1, 0)
+	if s.good++; s.good >= 16*s.ejections {
+		s.good, s.ejections = 0, max(s.ejections-1, 0)
 	}
 	switch {
 	case s.lat > limit && b.now-s.cutAt > rtt:
 		least := 1.0
 		if s.lat > tipFactor*limit {
-			least = leastWindow
+			least = minWindow
 		}
 		b.cut(s, 0.85, least)
-	case s.lat < limit && float64(len(s.out)+2) > s.window && b.answers > learnFor:
+	case s.lat < limit && float64(len(s.out)+2) > s.window && b.answers > calmSamples:
 		s.window += min(1/s.window, s.window)
 	}
 }
@@ -911,7 +911,7 @@
 // weigh lets answer times set the weights that the list does not tell. Where crossing has
 // a price the own zone gets more in proportion, as long as it answers no slower than the
 // rest: what has more traffic than it can carry gets slower. A kind of machine that
-// answers later than all gets less: equal shares choke the small ones (i5db14f).
+// answers later than all gets less: equal shares choke the small ones.
 func (b *Balancer) weigh(s *server, x float64) {
 	lat := &b.awayLat
 	if s.zone == b.set.Zone {
@@ -919,19 +919,19 @@
 	}
 	*lat = mean(*lat, x, weighStep)
 	most := max(ownPrice*b.set.Prices.CrossZone, ownZone)
-	b.home = nudge(b.home, b.homeLat > b.awayLat*(1+b.set.Prices.CrossZone), ownZone, most)
+	b.home = stepWeight(b.home, b.homeLat > b.awayLat*(1+b.set.Prices.CrossZone), ownZone, most)
 	if b.set.Weights != "off" {
 		return
 	}
 	b.allLat = mean(b.allLat, x, weighStep)
 	k := &b.kinds[s.kind&255]
 	k.lat = mean(k.lat, x, weighStep)
-	k.weight = nudge(k.weight, k.lat > b.allLat, leastKind, 1)
+	k.weight = stepWeight(k.weight, k.lat > b.allLat, leastKind, 1)
 }
 
 // limit is the mean answer time, as a part of the aim, from which a server counts as
 // crowded. A few agents see most of the load and need not fear to crowd a server that
-// answers well within the aim. A cold one is slow before it is crowded (i5d0607).
+// answers well within the aim. A cold one is slow before it is crowded.
 func (b *Balancer) limit(s *server) float64 {
 	least := 2 * crowdShare / (2 + float64(b.set.Replicas))
 	return min(crowdShare, max(crowdFactor*b.calmLat, least)) / b.ramp(s)
@@ -947,10 +947,10 @@
 	return slowSmooth / 250
 }
 
-// heardFrom notes an answer. A server that no connect reached for long may be a new
+// recordAnswer notes an answer. A server that no connect reached for long may be a new
 // process, cold and not yet listed: it is ramped as if it had started now. Time-outs
-// alone don't tell: crowded servers would be left to idle (i228a10).
-func (b *Balancer) heardFrom(s *server) {
+// alone don't tell: crowded servers would be left to idle.
+func (b *Balancer) recordAnswer(s *server) {
 	if s.lostAt > 0 && b.now-s.lostAt > b.set.Contract.TipAfterMs {
 		s.startedAt, s.window, s.credit = b.now, 1, b.rng.Float64()
 		b.coolDown(s)
@@ -985,14 +985,14 @@
 }
 
 // common tells whether the server fails no more than the fleet does, as when a network
-// breaks connections at random: that says nothing of this one server. Held to a strike
-// each all of them were out at once, and two thirds of the requests were refused.
+// breaks connections at random: that says nothing of this one server. When each such failure
+// ejected its server, all were out at once and two thirds of the requests were refused.
 func (b *Balancer) common(s *server) bool {
 	median := b.medianFails()
 	return median >= failShare && s.fails <= 3*median
 }
 
-// recheck demotes a server and has it validated at once, without a strike.
+// recheck demotes a server and has it validated at once, without an ejection.
 func (b *Balancer) recheck(s *server) {
 	if s.state != Unhealthy {
 		b.enter(s, Unhealthy)
@@ -1002,10 +1002,10 @@
 	b.refetch()
 }
 
-// demote makes a server Unhealthy; failures of one moment count as one strike.
+// demote makes a server Unhealthy; failures of one moment count as one ejection.
 func (b *Balancer) demote(s *server, silent bool) {
 	if s.state != Unhealthy {
-		s.strikes = min(s.strikes+1, maxStrikes)
+		s.ejections = min(s.ejections+1, maxEjections)
 		b.enter(s, Unhealthy)
 		s.silent = silent
 		s.good, s.lat, s.samples = 0, 0, 0
@@ -1014,25 +1014,25 @@
 	b.refetch()
 }
 
-// holdFor is how long a server stays Unhealthy before it is validated again: one aim for
+// ejectionTime is how long a server stays Unhealthy before it is validated again: one aim for
 // a stray failure, or the time in which the agent comes by each server if that is longer,
-// doubled with each further strike up to a minute. A probe is answered beside the requests
+// doubled with each further ejection up to a minute. A probe is answered beside the requests
 // and clears a server that fails them: held for a few aims, less than an agent takes to
 // come by, failing servers kept an even share for as long as they failed. While the others
-// have no room there is no hold: a server that fails some requests is better than refusing
+// have no room none is ejected: a server that fails some requests is better than refusing
 // them all. One that answers nothing is not.
-func (b *Balancer) holdFor(s *server) float64 {
+func (b *Balancer) ejectionTime(s *server) float64 {
 	if b.scarce && !s.silent {
 		return 0
 	}
 	meet := b.set.Limits.KeepaliveMs * float64(b.subset()) / max(b.recent, 1)
-	return min(max(b.aimMin, meet)*float64(int(1)<<max(s.strikes-1, 0)), longestHold)
+	return min(max(b.aimMin, meet)*float64(int(1)<<max(s.ejections-1, 0)), maxEjectionMs)
 }
 
-// watchSilence demotes servers that took attempts and have answered nothing for
+// ejectSilent demotes servers that took attempts and have answered nothing for
 // several answer times: hung or gone silent, they would stay Connected.
-func (b *Balancer) watchSilence() {
-	b.visit(b.busy)
+func (b *Balancer) ejectSilent() {
+	b.countWork(b.busy)
 	for _, s := range b.busy {
 		silent := func(a *attempt, times float64) bool {
 			return b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*times
@@ -1077,9 +1077,9 @@
 // revalidate, on each request, refreshes servers that were Unhealthy long enough to
 // pending, to be validated in the background.
 func (b *Balancer) revalidate() {
-	b.visit(b.ejected)
+	b.countWork(b.ejected)
 	for _, s := range b.ejected {
-		if s.state == Unhealthy && s.usable && len(s.out) == 0 && b.now-s.since >= b.holdFor(s) {
+		if s.state == Unhealthy && s.usable && len(s.out) == 0 && b.now-s.since >= b.ejectionTime(s) {
 			b.enter(s, UnhealthyPending)
 			b.refetch()
 		}
@@ -1102,7 +1102,7 @@
 	switch {
 	case s.state != UnhealthyPending:
 	case ev.Status == OK:
-		b.heardFrom(s)
+		b.recordAnswer(s)
 		b.enter(s, Connected)
 	case ev.Status != Full:
 		b.demote(s, true)
@@ -1192,7 +1192,7 @@
 		b.update(&ev.Entries[i])
 	}
 	if ev.List != ListDelta {
-		b.visit(b.servers)
+		b.countWork(b.servers)
 		for _, s := range b.servers {
 			s.usable = s.usable && named[s.id]
 		}
@@ -1200,7 +1200,7 @@
 	floor := b.limitFloor()
 	limit := floor * b.limitScale
 	b.ready, b.capacityAt = 0, math.Inf(-1)
-	b.visit(b.servers)
+	b.countWork(b.servers)
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
 		if s.usable {
 			b.ready++
@@ -1222,7 +1222,7 @@
 	s, since := b.byAddr[e.Server], finite(e.SinceMs)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
-			window: firstWindow, startedAt: since, listedAt: since, credit: b.rng.Float64()}
+			window: initialWindow, startedAt: since, listedAt: since, credit: b.rng.Float64()}
 		s.order = mix(s.hash ^ mix(uint64(b.set.Index)+1))
 		b.byAddr[s.id] = s
 		b.servers.add(s)
@@ -1236,7 +1236,7 @@
 		b.ejected.remove(s)
 		s.startedAt, s.state, s.since, s.silent = since, Unknown, b.now, false
 		b.coolDown(s)
-		s.strikes, s.good, s.lat, s.samples, s.window, s.credit = 0, 0, 0, 0, 1, b.rng.Float64()
+		s.ejections, s.good, s.lat, s.samples, s.window, s.credit = 0, 0, 0, 0, 1, b.rng.Float64()
 		s.fails, s.pace, s.paceAt = 0, b.fleetPace, b.now
 	}
 	s.zone, s.cell, s.kind, s.usable = e.Zone, e.Cell, e.Kind, e.Health == Ready
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -123,7 +123,7 @@
 	if _, s3 := r.sent(0, 7); s3 == s {
 		t.Error("an Unhealthy server was chosen before the better tier")
 	}
-	r.now += r.b.holdFor(srv) + 1
+	r.now += r.b.ejectionTime(srv) + 1
 	id, s4 := r.sent(0, 7)
 	if srv.state != UnhealthyPending || s4 != s {
 		t.Fatalf("after the hold: state %d, sent to %v; want pending and the first send to check it", srv.state, s4)
@@ -153,7 +153,7 @@
 	r := newRig(t, set, 3)
 	id, s := r.sent(0, 7)
 	r.outcome(id, 0, s, Error, 5)
-	r.now += 2 * r.b.holdFor(r.b.byAddr[s])
+	r.now += 2 * r.b.ejectionTime(r.b.byAddr[s])
 	_, actions := r.ask(0, 7)
 	if p := find(actions, ActProbe); p == nil || p.Server != s {
 		t.Fatalf("no probe of the pending server: %+v", actions)
@@ -165,7 +165,7 @@
 	if r.b.byAddr[s].state != Unhealthy {
 		t.Error("a failed probe did not demote")
 	}
-	r.now += 10 * r.b.holdFor(r.b.byAddr[s])
+	r.now += 10 * r.b.ejectionTime(r.b.byAddr[s])
 	r.ask(0, 8)
 	r.do(Event{Kind: EvProbed, Server: s, Status: OK, LatencyMs: 5})
 	if r.b.byAddr[s].state != Connected {
@@ -278,7 +278,7 @@
 	}
 }
 
-// i86bcad: attempts that warm servers turned away were counted as what they take, and
+// Attempts that warm servers turned away were counted as what they take, and
 // a storm of them let the agents push cold servers over.
 func TestTurnedAwayAttemptsEarnNoColdCredit(t *testing.T) {
 	r := newRig(t, testSettings(), 4)
@@ -294,7 +294,7 @@
 	}
 }
 
-// i299663: 69 requests hinted as ten mean ones pushed a cold server over.
+// 69 requests hinted as ten mean ones pushed a cold server over.
 func TestColdServerIsChargedForCostlyRequests(t *testing.T) {
 	r := newRig(t, testSettings(), 3)
 	r.b.meanHint = 50
@@ -331,7 +331,7 @@
 		}
 	}
 	c := testSettings().Contract
-	share := float64(agents*each) / 9 * c.ColdFrom * c.FallMultiple / coldMargin
+	share := float64(agents*each) / 9 * c.ColdFrom * c.FallMultiple / slowStartMargin
 	if float64(got) > share*1.3 || float64(got) < share*0.2 {
 		t.Errorf("%d agents sent a cold server %d requests, want up to about %.0f", agents, got, share)
 	}
@@ -383,10 +383,10 @@
 	}
 }
 
-// id08146: agents restarted one by one while the fleet was crowded.
+// Agents restarted one by one while the fleet was crowded.
 func TestACrowdAtTheStartIsNotTakenForCalm(t *testing.T) {
 	r := newRig(t, testSettings(), 4)
-	for range learnFor {
+	for range calmSamples {
 		id, s := r.sent(0, uint64(r.b.rng.Int64()))
 		r.now += 270
 		r.outcome(id, 0, s, OK, 270)
@@ -396,7 +396,7 @@
 	}
 }
 
-// i5d0607: a zone was lost and only cold servers were left.
+// A zone was lost and only cold servers were left.
 func TestColdServersServeWhenTheWarmOnesFailed(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
 	for range 200 {
@@ -414,7 +414,7 @@
 	}
 }
 
-// i958eff: servers came back from silence cold, before the list told.
+// Servers came back from silence cold, before the list told.
 func TestReturnFromSilenceIsRamped(t *testing.T) {
 	r := newRig(t, testSettings(), 3)
 	id, s := r.sent(0, 9)
@@ -478,8 +478,8 @@
 }
 
 // Failures that all servers share, as of a network that breaks connections, cost none of
-// them a strike, its window or its hold; one that fails more than the others is demoted.
-func TestFailuresOfTheWholeFleetCostNoStrike(t *testing.T) {
+// them an ejection or its window; one that fails more than the others is demoted.
+func TestFailuresOfTheWholeFleetCostNoEjection(t *testing.T) {
 	r := newRig(t, testSettings(), 6)
 	end := func(id RequestID, s Addr, st Status) {
 		r.now += 20
@@ -500,16 +500,16 @@
 	}
 	id, s := r.sent(1, 0)
 	srv := r.b.byAddr[s]
-	strikes, window := srv.strikes, srv.window
+	ejections, window := srv.ejections, srv.window
 	end(id, s, Reset)
-	if srv.state != UnhealthyPending || srv.strikes != strikes || srv.window != window {
-		t.Fatalf("state %d, strikes %d to %d, window %v to %v", srv.state, strikes, srv.strikes, window, srv.window)
+	if srv.state != UnhealthyPending || srv.ejections != ejections || srv.window != window {
+		t.Fatalf("state %d, ejections %d to %d, window %v to %v", srv.state, ejections, srv.ejections, window, srv.window)
 	}
 	srv.fails = 0.5
 	r.b.enter(srv, Connected)
-	r.b.judge(&attempt{s: srv}, Reset, 20)
-	if srv.state != Unhealthy || srv.strikes != strikes+1 {
-		t.Fatalf("fails half of all: state %d, strikes %d to %d", srv.state, strikes, srv.strikes)
+	r.b.recordOutcome(&attempt{s: srv}, Reset, 20)
+	if srv.state != Unhealthy || srv.ejections != ejections+1 {
+		t.Fatalf("fails half of all: state %d, ejections %d to %d", srv.state, ejections, srv.ejections)
 	}
 }
 
@@ -536,7 +536,7 @@
 	}
 }
 
-// i8d4be0, ifafc7b: held requests that wait for their key's servers must not
+// Held requests that wait for their key's servers must not
 // keep others from servers that have room.
 func TestWaitingForAKeyBlocksNobody(t *testing.T) {
 	r := newRig(t, testSettings(), 6)
@@ -560,7 +560,7 @@
 
 func TestCrowdedWindowShrinks(t *testing.T) {
 	set := testSettings()
-	set.Replicas = 20 // many, as on ie9df20: each sees little of the load
+	set.Replicas = 20 // many: each sees little of the load
 	r := newRig(t, set, 1)
 	r.b.limitScale = 1e6 // the agent's own limit is not at issue
 	srv := r.b.servers[0]
@@ -580,7 +580,7 @@
 	if srv.window >= grown {
 		t.Errorf("answers took seven times as long and the window went from %.2f to %.2f", grown, srv.window)
 	}
-	// ie9df20: with many agents one attempt of each keeps a tipped server busy.
+	// With many agents one attempt of each keeps a tipped server busy.
 	if srv.window >= 1 {
 		t.Errorf("a tipped server is not left to rest: window %.2f", srv.window)
 	}
@@ -683,15 +683,15 @@
 	// Output: send request 1 to [10 0 0 1 31 144]
 }
 
-// i452d3e: windows that grew before calm was known crowded the servers, and the
+// Windows that grew before calm was known crowded the servers, and the
 // crowded time became the measure of calm.
 func TestNoWindowGrowsBeforeCalmIsKnown(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
-	for range learnFor - 1 {
+	for range calmSamples - 1 {
 		id, s := r.sent(0, r.b.rng.Uint64())
 		r.now += 20
 		r.outcome(id, 0, s, OK, 20)
-		if w := r.b.byAddr[s].window; w > firstWindow {
+		if w := r.b.byAddr[s].window; w > initialWindow {
 			t.Fatalf("window %.2f after %.0f answers", w, r.b.answers)
 		}
 	}
@@ -709,12 +709,12 @@
 			r.outcome(ids[i], 0, tos[i], OK, 20)
 		}
 	}
-	if w := max(r.b.servers[0].window, r.b.servers[1].window); w <= firstWindow {
+	if w := max(r.b.servers[0].window, r.b.servers[1].window); w <= initialWindow {
 		t.Errorf("no window grew once calm was known: %.2f", w)
 	}
 }
 
-// i7e1314: the class of least worth was starved though the worst class counts.
+// The class of least worth was starved though the worst class counts.
 func TestWorstClassCountsAmongHeld(t *testing.T) {
 	set := testSettings()
 	set.Objective = Objective{Whole: 0.5, WorstClass: 0.5}
@@ -772,7 +772,7 @@
 	}
 }
 
-// id753de: with many agents, each with one request out, a popular key put twenty times
+// With many agents, each with one request out, a popular key put twenty times
 // the mean on one server. Few agents leave it to the cap; a rare key stays whole.
 func TestPopularKeyIsSplitWhereTheCapIsBlind(t *testing.T) {
 	for _, c := range []struct {
@@ -807,7 +807,7 @@
 	}
 }
 
-// i86bcad: each of many agents sent every full request on to the next server, and all
+// Each of many agents sent every full request on to the next server, and all
 // together kept the servers too full to serve any. Attempts after the first are paid for
 // by answers in time, but for those after one that reached no server.
 func TestResendsHaveABudget(t *testing.T) {
@@ -836,7 +836,7 @@
 	}
 }
 
-// i5db14f: a thousand agents that each met every server kept 400 connections a server
+// A thousand agents that each met every server kept 400 connections a server
 // open. They are closed where their price is above that of opening them again.
 func TestIdleConnectionsAreClosedWhereTheyCostMore(t *testing.T) {
 	for _, c := range []struct {
@@ -864,7 +864,7 @@
 	}
 }
 
-// id753de: a quiet agent of many met each of hundreds of servers once a minute. It keeps
+// A quiet agent of many met each of hundreds of servers once a minute. It keeps
 // to a subset it meets often; agents' subsets differ, so that each server has its share;
 // a busy agent uses the whole fleet, and what is down in the subset is replaced.
 func TestQuietAgentsKeepToASubset(t *testing.T) {
@@ -903,7 +903,7 @@
 	}
 }
 
-// id753de: a quiet agent checked each slow server again after one aim, with a request; and
+// A quiet agent checked each slow server again after one aim, with a request; and
 // a probe clears a server that fails its requests, so it must not come sooner either.
 func TestQuietAgentHoldsAFailedServerLonger(t *testing.T) {
 	for _, probing := range []bool{false, true} {
@@ -918,12 +918,12 @@
 			r.outcome(id, 0, s, OK, 20)
 		}
 		r.b.demote(r.b.byAddr[s], true)
-		if hold := r.b.holdFor(r.b.byAddr[s]); hold < 1000 {
+		if hold := r.b.ejectionTime(r.b.byAddr[s]); hold < 1000 {
 			t.Errorf("probing %v: held for %.0f ms, two requests a second over 20 servers", probing, hold)
 		}
-		r.b.byAddr[s].strikes = maxStrikes
+		r.b.byAddr[s].ejections = maxEjections
 		r.b.recent = 0.1
-		if hold := r.b.holdFor(r.b.byAddr[s]); hold > longestHold {
+		if hold := r.b.ejectionTime(r.b.byAddr[s]); hold > maxEjectionMs {
 			t.Errorf("probing %v: held for %.0f ms, longer than a minute", probing, hold)
 		}
 	}
@@ -959,7 +959,7 @@
 	}
 }
 
-// i5db14f: machines 2.5 times apart got equal shares, and the small ones choked. Where
+// Machines 2.5 times apart got equal shares, and the small ones choked. Where
 // the list tells no weights a kind's answer times do.
 func TestSlowKindOfMachineGetsLess(t *testing.T) {
 	for _, weights := range []string{"off", "nominal"} {
@@ -1058,7 +1058,7 @@
 	}
 }
 
-// ifa5a01: the fleet doubled, and quiet agents, each sending to a subset, earned the new
+// The fleet doubled, and quiet agents, each sending to a subset, earned the new
 // servers the credit of a whole fleet's share: they idled while the old ones were crowded.
 func TestColdCreditIsReckonedByTheSubset(t *testing.T) {
 	earned := func(keepalive float64) float64 {
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -256,8 +256,8 @@
 	if w.b.limitScale < leastAttempts/attemptsPerServer || len(w.b.abandoned.all) > maxHeld || w.b.retryBudget < 0 || w.b.retryBudget > retryBurst {
 		t.Errorf("seed %d: %.1f times its share, a budget of %.1f", seed, w.b.limitScale, w.b.retryBudget)
 	}
-	if len(w.b.pasts) > maxHeld {
-		t.Errorf("seed %d: %d past requests remembered", seed, len(w.b.pasts))
+	if len(w.b.unserved) > maxHeld {
+		t.Errorf("seed %d: %d past requests remembered", seed, len(w.b.unserved))
 	}
 	return w.history
 }
--- a/policy/reconfigure.go
+++ b/policy/reconfigure.go
@@ -62,13 +62,13 @@
 			b.worst = c
 		}
 	}
-	kept := b.pasts[:0]
-	for _, p := range b.pasts {
+	kept := b.unserved[:0]
+	for _, p := range b.unserved {
 		if p.class = renamed[p.class]; p.class != nil {
 			kept = append(kept, p)
 		}
 	}
-	b.pasts = kept
+	b.unserved = kept
 }
 
 // renameTenants moves the tenants' shares, and the open requests, to the places that the
--- a/policy/reconfigure_test.go
+++ b/policy/reconfigure_test.go
@@ -82,7 +82,7 @@
 	}
 	for _, s := range r.b.servers {
 		b := before[s.id]
-		if s.state != b.state || s.strikes != b.strikes || s.credit != b.credit || s.startedAt != b.startedAt ||
+		if s.state != b.state || s.ejections != b.ejections || s.credit != b.credit || s.startedAt != b.startedAt ||
 			s.window != b.window || s.lat != b.lat {
 			t.Errorf("of server %v something was forgotten", s.id)
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -27,9 +27,9 @@
 	since     float64 // when the state was entered
 	silent    bool    // demoted for silence, not for an answer
 	lostAt    float64 // first failed connect since it last answered; 0: none
-	strikes   int     // how often it failed of late; sets the hold
+	ejections int     // how often it failed of late; sets the ejection time
 	fails     float64 // share of its attempts that failed of late, after they may have run
-	good      int     // served since the last change of strikes
+	good      int     // served since the last change of ejections
 	probing   bool
 	out       []*attempt // attempts out, oldest first
 	abandoned int        // attempts that it may still work on though nobody waits for them
@@ -136,7 +136,7 @@
 	attempts    []*attempt
 	maxAttempts int
 	open        int // attempts out
-	risky       int // attempts that may have run
+	mayHaveRun  int // attempts that may have run
 	ranAt       float64
 	ranOn       *server
 	near        [keyServers]*server // nearest its key, as of epoch
@@ -171,8 +171,8 @@
 	return float64(k.count[key]) / float64(k.total)
 }
 
-// past is what is remembered of an unserved request, to know its retry.
-type past struct {
+// unservedRequest is what is remembered of an unserved request, to know its retry.
+type unservedRequest struct {
 	class *class
 	key   uint64
 	first float64
@@ -193,7 +193,7 @@
 	held        []*request
 	tier        []*server // scratch of pick
 	shares      []float64 // scratch of common
-	pasts       []past
+	unserved    []unservedRequest
 	recentKeys  keyCounter
 	warm        float64 // weight of warm servers, as of warmAt and warmEpoch
 	warmAt      float64
@@ -255,8 +255,8 @@
 // list can be tested where times can't.
 func (b *Balancer) Work() uint64 { return b.work }
 
-// visit counts a walk over servers as work.
-func (b *Balancer) visit(servers []*server) { b.work += uint64(len(servers)) }
+// countWork counts a walk over servers as work.
+func (b *Balancer) countWork(servers []*server) { b.work += uint64(len(servers)) }
 
 // tally keeps the classes' shares of requests and of those served in time.
 func (b *Balancer) tally(of *class) {
@@ -327,22 +327,22 @@
 // remember keeps when an unserved request first came, so that its retry is
 // judged by the time that has passed for the client.
 func (b *Balancer) remember(r *request) {
-	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool {
+	b.unserved = slices.DeleteFunc(b.unserved, func(p unservedRequest) bool {
 		return b.now-p.first > p.class.GiveUpMs
 	})
-	if len(b.pasts) < maxHeld {
-		b.pasts = append(b.pasts, past{r.class, r.key, r.first})
+	if len(b.unserved) < maxHeld {
+		b.unserved = append(b.unserved, unservedRequest{r.class, r.key, r.first})
 	}
 }
 
 // recall finds and forgets the unserved request that this one repeats.
 func (b *Balancer) recall(r *request) (first float64, found bool) {
-	i := slices.IndexFunc(b.pasts, func(p past) bool { return p.class == r.class && p.key == r.key })
+	i := slices.IndexFunc(b.unserved, func(p unservedRequest) bool { return p.class == r.class && p.key == r.key })
 	if i < 0 {
 		return 0, false
 	}
-	first = b.pasts[i].first
-	b.pasts = slices.Delete(b.pasts, i, i+1)
+	first = b.unserved[i].first
+	b.unserved = slices.Delete(b.unserved, i, i+1)
 	return first, true
 }
 
@@ -387,7 +387,7 @@
 	if b.warmWeight() == 0 {
 		return b.capacityNow
 	}
-	b.visit(b.cold)
+	b.countWork(b.cold)
 	for _, s := range b.cold {
 		if s.usable {
 			b.capacityNow -= 1 - b.ramp(s)
@@ -408,7 +408,7 @@
 		return b.warm
 	}
 	b.warm, b.warmAt, b.warmEpoch, b.warmStale = 0, b.now, b.epoch, false
-	b.visit(b.servers)
+	b.countWork(b.servers)
 	for _, s := range b.servers {
 		if s.usable && s.state <= Unknown && b.ramp(s) == 1 {
 			b.warm += s.weight
@@ -428,7 +428,7 @@
 
 // warmUp takes those that are warm by now from the cold ones.
 func (b *Balancer) warmUp() {
-	b.visit(b.cold)
+	b.countWork(b.cold)
 	b.cold = slices.DeleteFunc(b.cold, func(s *server) bool {
 		s.cold = b.ramp(s) != 1
 		b.warmStale = b.warmStale || !s.cold
@@ -469,7 +469,7 @@
 // servers it tells nothing.
 func (b *Balancer) medianFails() float64 {
 	b.shares = b.shares[:0]
-	b.visit(b.servers)
+	b.countWork(b.servers)
 	for _, s := range b.servers {
 		if s.usable {
 			b.shares = append(b.shares, s.fails)
@@ -482,8 +482,8 @@
 	return b.shares[len(b.shares)/2]
 }
 
-// nudge moves a weight a step down or up within its bounds.
-func nudge(w float64, down bool, least, most float64) float64 {
+// stepWeight moves a weight a step down or up within its bounds.
+func stepWeight(w float64, down bool, least, most float64) float64 {
 	if down {
 		return max(w/(1+weighStep), least)
 	}
