Judge unmarked retries by the time of the client's first try

A request with the class and key of one left unserved within its clients' time is taken for its retry, with the time of its first try.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -586,17 +586,27 @@
 	}
 }
 
-// The client's retry of a hopeless request is judged by the client's time.
+// The client's retry of a hopeless request is judged by the client's time, also where retries
+// are not marked; a request with another key has its whole aim.
 func TestRetryKeepsTheClientsTime(t *testing.T) {
-	r := newRig(t, testSettings(), 1)
-	id, s := r.sent(0, 5)
-	r.now += 200
-	r.do(Event{Kind: EvDropped, Request: id})
-	r.outcome(id, 0, s, Cancelled, 200)
-	r.id++
-	r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: 5, LeftMs: 600, Retry: true})
-	if q := r.b.requests[r.id]; q == nil || q.aimAt-r.now > 101 {
-		t.Error("a retry was given the whole aim again")
+	for _, marks := range []bool{true, false} {
+		set := testSettings()
+		set.Clients.MarksRetry = marks
+		r := newRig(t, set, 1)
+		id, s := r.sent(0, 5)
+		r.now += 200
+		r.do(Event{Kind: EvDropped, Request: id})
+		r.outcome(id, 0, s, Cancelled, 200)
+		r.id++
+		r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: 5, LeftMs: 600, Retry: marks})
+		if q := r.b.requests[r.id]; q == nil || q.aimAt-r.now > 101 {
+			t.Errorf("marked %v: a retry was given the whole aim again", marks)
+		}
+		r.id++
+		r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: 6, LeftMs: 600})
+		if q := r.b.requests[r.id]; q == nil || q.aimAt-r.now < 299 {
+			t.Errorf("marked %v: another request was taken for a retry", marks)
+		}
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -348,14 +348,14 @@
 
 // repeats tells whether the request seems to be a client's retry, and when its first try came.
 // Where clients don't mark their retries, a request with the class and the key of an unserved
-// one is held to be its retry: that is likely, not sure, so it is believed for the count of
-// requests alone.
+// one is held to be its retry: of the few requests that an agent left unserved within the time
+// that clients wait, hardly another has the same key.
 func (b *Balancer) repeats(r *request, marked bool) bool {
 	if !marked && (b.set.Clients.MarksRetry || r.key == 0) {
 		return false
 	}
 	first, found := b.recall(r)
-	if marked && found {
+	if found {
 		r.first = first
 	}
 	return marked || found
