Keep a lowered limit when the list grows

A part of an attempt that grew with the list was put back to its floor whatever late answers had taken of it. Test fails without.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1213,7 +1213,7 @@
 	})
 	// A limit that has grown far above a part of one attempt does not grow with that part.
 	if now := b.limitFloor(); floor < 1 && now > floor {
-		b.limitScale = max(limit/now, 1)
+		b.limitScale = max(limit/now, min(b.limitScale, 1))
 	}
 }
 
--- a/policy/recovery_test.go
+++ b/policy/recovery_test.go
@@ -301,3 +301,18 @@
 		t.Errorf("%v times its part, want %v", r.b.limitScale, least)
 	}
 }
+
+// A longer list does not take back what late answers took of the limit.
+func TestLongerListKeepsALoweredLimit(t *testing.T) {
+	r := quick(t, testSettings(), 3)
+	r.b.set.Replicas = 100
+	r.b.limitScale = leastAttempts / attemptsPerServer
+	var more []Entry
+	for i := range 60 {
+		more = append(more, Entry{Server: addr(3 + i), Health: Ready, Weight: 1})
+	}
+	r.list(ListDelta, more...)
+	if r.b.limitScale != leastAttempts/attemptsPerServer {
+		t.Errorf("%v times its part", r.b.limitScale)
+	}
+}
