--- a/internal/agent/left_test.go
+++ b/internal/agent/left_test.go
@@ -362,6 +362,11 @@
 			<-came
 			p.mu.Lock()
 			p.spare.Front().Value.(*conn).since = time.Now().Add(never) // rests however slow the test is
+			connect := p.connect
+			p.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				<-ctx.Done() // an extra connection that came up first would rightly be sent on
+				return connect(ctx, network, addr)
+			}
 			p.mu.Unlock()
 			c := dial(t, base)
 			io.WriteString(c, raw("order", "left"))
