Ask for the list within the drains' grace of a start

What discovery has counts as told 6 s later whether or not the agent ran; their first calls were spread over 3.75 s from their start (askForList). Now all turns are within the drains' grace.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -23,6 +23,28 @@
 	return s
 }
 
+// The list that an agent starts with may be old, and what it misses may count as told before the
+// agent has started: its first call comes within the drains' grace, whatever its number.
+func TestFirstCallComesWithinTheDrainsGrace(t *testing.T) {
+	for _, agents := range []int{4, 300, 2000} {
+		for _, grace := range []float64{250, 1000, 1500, 30000} {
+			last := 0.0
+			for index := range agents {
+				set := fleetSettings(agents)
+				set.Membership, set.Index, set.Contract.DrainGraceMs = OnRequest, index, grace
+				b, err := New(set, uint64(index))
+				if err != nil {
+					t.Fatal(err)
+				}
+				last = max(last, find(b.Start(0, nil), ActTimer).Ms)
+			}
+			if last > grace || last > 6000-callMost {
+				t.Errorf("%d agents, %v ms of grace: the last call comes after %v ms", agents, grace, last)
+			}
+		}
+	}
+}
+
 // Agents and their restarts don't wait alike after a failed call.
 func TestFailedCallsAreSpread(t *testing.T) {
 	waits := map[float64]int{}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1112,16 +1112,16 @@
 // ---- the list ----
 
 // askForList sets the time of the first call that follows the list. Where discovery is one
-// service for all, agents that start together have turns by their numbers: 80 that called
-// within a second found a queue longer than any call waits, and those turned away kept it
-// so. The last turn leaves its call the time in which it has to be told.
+// service for all, agents that start together have turns by their numbers, so that their calls
+// don't wait for each other. The list that an agent starts with is as old as its restart took,
+// and what it misses may count as told already: all turns are within the drains' grace.
 func (b *Balancer) askForList() {
 	switch b.set.Membership {
 	case Watched:
 		b.follow(b.rng.Float64() * firstWait)
 	case OnRequest:
 		turn := (float64(b.set.Index) + b.rng.Float64()) / float64(max(b.set.Replicas, b.set.Index+1))
-		b.follow(turn * b.spread(toldWithin-callMost-callMargin))
+		b.follow(turn * b.spread(min(b.set.Contract.DrainGraceMs, toldWithin-callMost-callMargin)))
 	}
 }
 
