Draw parts in one place in the model, count refusals for good once, mend stale comments

Read once more. drawClass and drawTenant were one loop twice. With several retries a client's every refusal after the first counted as for good; only the last does now. Comments of the limit's floor and of callGap told of the code before.

--- a/internal/fleet/model/agent.go
+++ b/internal/fleet/model/agent.go
@@ -150,7 +150,9 @@
 	}
 	r.final = true
 	r.agent.handle(policy.Event{Kind: policy.EvDropped, Request: r.id})
-	r.agent.client.askAgain(r)
+	if len(r.agent.m.cfg.Traffic) > 0 { // plain clients come again after refusals alone
+		r.agent.client.askAgain(r)
+	}
 	r.forget()
 }
 
@@ -219,9 +221,9 @@
 	m := r.agent.m
 	r.final = true
 	switch {
-	case refused && r.retries > 0:
+	case refused && r.retries >= m.mostRetries():
 		m.secondOf(r.cameAt).Refused++
-	case refused:
+	case refused && r.retries == 0:
 		m.secondOf(r.cameAt).TurnedAway++
 	}
 	if refused {
@@ -235,7 +237,7 @@
 func (c *client) askAgain(r *request) {
 	m := c.m
 	wait := 30 + 200*m.rng.Float64()
-	if r.retries >= max(m.cfg.Retries, 1) || m.now+wait >= r.cameAt+m.cfg.Settings.Classes[r.class].GiveUpMs {
+	if r.retries >= m.mostRetries() || m.now+wait >= r.cameAt+m.cfg.Settings.Classes[r.class].GiveUpMs {
 		return
 	}
 	again := &request{class: r.class, tenant: r.tenant, key: r.key, cameAt: r.cameAt, retries: r.retries + 1}
--- a/internal/fleet/model/lateview.go
+++ b/internal/fleet/model/lateview.go
@@ -66,10 +66,10 @@
 
 // viewed is a request that is open.
 type viewed struct {
-	class    int
-	deadline float64
-	tries    int
-	risky    bool // an attempt may have run
+	class      int
+	deadline   float64
+	tries      int
+	mayHaveRun bool // of its attempts some
 }
 
 // Start asks for nothing: it sees the servers.
@@ -98,8 +98,8 @@
 		delete(l.open, ev.Request)
 		return out
 	}
-	r.risky = r.risky || !ev.Status.NeverRan()
-	if r.risky && l.set.Classes[r.class].Effect != policy.Free {
+	r.mayHaveRun = r.mayHaveRun || !ev.Status.NeverRan()
+	if r.mayHaveRun && l.set.Classes[r.class].Effect != policy.Free {
 		delete(l.open, ev.Request)
 		return append(out, policy.Action{Kind: policy.ActFail, Request: ev.Request})
 	}
--- a/internal/fleet/model/traffic.go
+++ b/internal/fleet/model/traffic.go
@@ -61,35 +61,35 @@
 }
 
 func (m *Model) drawClass() int {
-	if len(m.cfg.Traffic) < 2 {
-		return 0
-	}
-	at := m.rng.Float64()
-	for i, t := range m.cfg.Traffic {
-		if at -= t.Share; at < 0 {
-			return i
-		}
-	}
-	return len(m.cfg.Traffic) - 1
+	traffic := m.cfg.Traffic
+	return m.drawPart(len(traffic), func(i int) float64 { return traffic[i].Share })
 }
 
 func (m *Model) drawTenant() int {
 	tenants := m.cfg.Settings.Tenants
-	if len(tenants) < 2 {
+	return m.drawPart(len(tenants), func(i int) float64 { return tenants[i].Portion })
+}
+
+// drawPart draws one of n by their parts of the whole.
+func (m *Model) drawPart(n int, part func(i int) float64) int {
+	if n < 2 {
 		return 0
 	}
 	at := m.rng.Float64()
-	for i, t := range tenants {
-		if at -= t.Portion; at < 0 {
+	for i := range n {
+		if at -= part(i); at < 0 {
 			return i
 		}
 	}
-	return len(tenants) - 1
+	return n - 1
 }
 
 // tryShare is the part of the time after which it gives up that a client waits for a try.
 const tryShare = 0.6
 
+// mostRetries is how often a client comes again with a request that is not served.
+func (m *Model) mostRetries() int { return max(m.cfg.Retries, 1) }
+
 // patience is how long a client waits for a try.
 func (m *Model) patience(class int) float64 {
 	if len(m.cfg.Traffic) == 0 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,7 +83,7 @@
 	// is left for the way and for what the list sets off.
 	toldWithin, callMost, callMargin = 6000.0, 2000.0, 250.0
 	// callGap is how far apart, in ms, the agents of a small fleet call that start together:
-	// large ones take all the time that the contract leaves, and no contract rests on it.
+	// those of large ones take all the time that they have.
 	callGap = 75.0
 	// A watch on the agent's own machine costs nothing: firstWait and longestWait, in ms, only
 	// keep its calls from spinning.
@@ -284,10 +284,10 @@
 	return out < max(room, 1) && (room >= 1 || b.now-b.triedAt >= b.meanRTT/room)
 }
 
-// limitFloor is what the limit on attempts never falls below: the agent's part of
-// attemptsPerServer attempts a server, by its part of the traffic that the settings foresee for
-// all agents, an even one where they foresee none. One out at a time does no harm as long as
-// all agents may have one.
+// limitFloor is the agent's part of attemptsPerServer attempts a server, of which the limit on
+// attempts is limitScale times, and less only while answers are late. Its part is that of the
+// traffic that the settings foresee for all agents, an even one where they foresee none. One
+// out at a time does no harm as long as all agents may have one.
 func (b *Balancer) limitFloor() float64 {
 	all := attemptsPerServer * b.capacity()
 	even := all / float64(max(b.set.Replicas, 1))
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -55,7 +55,7 @@
 // read by diagnostics alone.
 type Snapshot struct {
 	Limit       float64 // attempts that may be out
-	Floor       float64 // what the limit never falls below
+	Floor       float64 // the agent's part of the attempts that the fleet may have out, of which the limit is a multiple
 	Inflight    int     // attempts out, and of these on servers that fell silent
 	Stuck       int
 	Abandoned   int     // attempts that are not waited for and may still run
