--- a/cmd/fleetbench/fleet.go
+++ b/cmd/fleetbench/fleet.go
@@ -15,7 +15,8 @@
 type fleetCmd struct {
 	fleet.Size `embed:""`
 	output     `embed:""`
-	Days       []string `help:"Days to play; they are described below." default:"calm,rack,zone,region,replace,cold,start"`
+	Days       []string `help:"Days to play; they are described below." default:"calm,rack,half,zone,region,replace,cold,start"`
+	Mixed      bool     `help:"Ask four classes and two tenants in place of one, and play each day a second time with a policy that sees the servers late, to compare with."`
 	Told       []string `help:"Whose replicas and quota the agents' settings tell: those of the whole fleet, or those of the service that an agent calls. Each day is played once for each." enum:"fleet,service" default:"fleet,service"`
 	Seconds    float64  `help:"Virtual seconds that a day is played and counted, after two in which it settles." default:"12"`
 	Cores      int      `help:"Cores of a server." default:"1"`
@@ -75,7 +76,7 @@
 func (f *fleetCmd) args() []string {
 	return []string{"--days=" + strings.Join(f.Days, ","), "--told=" + strings.Join(f.Told, ","),
 		fmt.Sprint("--seconds=", f.Seconds), fmt.Sprint("--cores=", f.Cores), fmt.Sprint("--load=", f.Load),
-		fmt.Sprint("--slope=", f.Slope)}
+		fmt.Sprint("--slope=", f.Slope), fmt.Sprint("--mixed=", f.Mixed)}
 }
 
 // plays lists what is to be played, or says which argument makes no sense.
@@ -170,7 +171,14 @@
 	cfg.ToldService = p.told == "service"
 	log = log.With("told", p.told, "agents", p.size.Agents)
 	log.Info("begins", "day", p.day.Name)
+	if f.Mixed {
+		cfg.Mix()
+	}
 	c, err := p.day.Play(ctx, cfg, f.Seconds, log)
+	if err == nil && f.Mixed {
+		cfg.LateView = true
+		err = p.day.Compare(ctx, cfg, f.Seconds, log.With("policy", "late view"), c)
+	}
 	if err != nil {
 		return fmt.Errorf("%s day, told of the %s: %w", p.day.Name, p.told, err)
 	}
--- a/cmd/fleetbench/fleet_test.go
+++ b/cmd/fleetbench/fleet_test.go
@@ -37,6 +37,27 @@
 	}
 }
 
+// A mixed run tells what each class, effect and tenant is served, and what it is served by a
+// policy that sees the servers late.
+func TestFleetTellsOfMixedTraffic(t *testing.T) {
+	f := tinyFleet(t)
+	f.Mixed, f.Slope, f.Days, f.Told = true, false, []string{"half"}, []string{"service"}
+	if err := f.Run(t.Context(), slog.New(slog.DiscardHandler)); err != nil {
+		t.Fatal(err)
+	}
+	r, err := fleet.LoadResult(f.Out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, of := range []string{"class short", "class once", "effect free", "effect single_shot", "tenant small"} {
+		for _, by := range []string{"", ", seen late"} {
+			if v, ok := r.Cases[0].Figure("served of " + of + by); !ok || v <= 0 || v > 1 {
+				t.Errorf("%s%s: %v", of, by, v)
+			}
+		}
+	}
+}
+
 // Arguments that make no sense are named, and nothing is played.
 func TestFleetRefusesWhatMakesNoSense(t *testing.T) {
 	for arg, spoil := range map[string]func(*fleetCmd){
--- a/internal/fleet/model/days.go
+++ b/internal/fleet/model/days.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 
 	"molepaddle/internal/fleet"
 	"molepaddle/policy"
@@ -88,6 +89,21 @@
 	return m.figures(d.Name), nil
 }
 
+// Compare plays the day under another configuration and adds to c what that serves of each
+// class, tenant and effect.
+func (d Day) Compare(ctx context.Context, cfg Config, seconds float64, log *slog.Logger, c *fleet.Case) error {
+	other, err := d.Play(ctx, cfg, seconds, log)
+	if err != nil {
+		return err
+	}
+	for _, f := range other.Figures {
+		if f.Name == "worth served" || strings.HasPrefix(f.Name, servedOf) {
+			c.Add(f.Name+", seen late", f.Unit, f.Value)
+		}
+	}
+	return nil
+}
+
 func (m *Model) sinceStart() float64 { return (m.now - Start) / 1000 }
 
 // figures counts all since the settling.
--- a/internal/fleet/model/traffic.go
+++ b/internal/fleet/model/traffic.go
@@ -38,6 +38,23 @@
 	return nil
 }
 
+// Mix has four classes of different aims, worths and effects and two tenants asked in place of
+// one of each, by clients that come again twice.
+func (cfg *Config) Mix() {
+	class := func(name string, aim, worth float64, effect policy.Effect) policy.Class {
+		return policy.Class{Name: name, AimMs: aim * cfg.WorkMs, GiveUpMs: 4 * aim * cfg.WorkMs, Credit: worth,
+			Effect: effect, Group: policy.GroupCell, KeyTTLMs: 2 * aim * cfg.WorkMs}
+	}
+	set := &cfg.Settings
+	set.Classes = []policy.Class{class("short", 6, 1, policy.Free), class("long", 12, 1, policy.Free),
+		class("keyed", 12, 3, policy.Guarded), class("once", 12, 8, policy.SingleShot)}
+	set.Objective = policy.Objective{Whole: 0.55, WorstWindow: 0.15, WorstClass: 0.2, WorstTenant: 0.1}
+	set.OverShareWorth = 0.2
+	set.Tenants = []policy.Tenant{{Name: "large", Portion: 0.7}, {Name: "small", Portion: 0.3}}
+	cfg.Traffic = []Traffic{{0.4, 0.7}, {0.3, 1}, {0.2, 1.4}, {0.1, 1.4}}
+	cfg.Retries = 2
+}
+
 // draw is a client's new request.
 func (m *Model) draw() *request {
 	return &request{class: m.drawClass(), tenant: m.drawTenant(), key: 1 + m.rng.Uint64N(400), cameAt: m.now}
@@ -139,22 +156,25 @@
 	}
 }
 
+// servedOf begins the names of the figures of classes, effects and tenants.
+const servedOf = "served of "
+
 // addShares adds what was served of each class, tenant and effect, where there are several.
 func (m *Model) addShares(c *fleet.Case) {
 	set := &m.cfg.Settings
 	if len(set.Classes) > 1 {
 		for i, class := range set.Classes {
-			c.Add("served of class "+class.Name, "share", m.shares.class[i].part())
+			c.Add(servedOf+"class "+class.Name, "share", m.shares.class[i].part())
 		}
 		for _, effect := range []policy.Effect{policy.Free, policy.Guarded, policy.SingleShot} {
 			if s := m.shares.effect[effect]; s != nil {
-				c.Add("served of effect "+string(effect), "share", s.part())
+				c.Add(servedOf+"effect "+string(effect), "share", s.part())
 			}
 		}
 	}
 	if len(set.Tenants) > 1 {
 		for i, tenant := range set.Tenants {
-			c.Add("served of tenant "+tenant.Name, "share", m.shares.tenant[i].part())
+			c.Add(servedOf+"tenant "+tenant.Name, "share", m.shares.tenant[i].part())
 		}
 	}
 }
