--- a/review/2/main.go
+++ b/review/2/main.go
@@ -17,11 +17,11 @@
 )
 
 const (
-	badClients   = 500                    // connections by the hundred
-	requests     = 40                     // of usual clients, each on a new connection
-	interval     = 50 * time.Millisecond  // between two of them
-	timeout      = 400 * time.Millisecond // of each: 40% of the class's give-up time
-	giveUpMs     = 1000
+	badClients   = 300                   // connections by the hundred
+	requests     = 40                    // of usual clients, each on a new connection
+	interval     = 50 * time.Millisecond // between two of them
+	timeout      = time.Second           // of each: 40% of the class's give-up time
+	giveUpMs     = 2500
 	lostAfter    = 500 * time.Millisecond // past its time a request without an answer is lost
 	socketsSlack = 50 * time.Millisecond  // each time limit is 50 ms longer on sockets
 	descriptors  = 256
@@ -46,7 +46,8 @@
 	}
 	config := stand.Config("agent-1", listen, discovery.Addr, discovery.List())
 	config["limits"].(stand.JSON)["sockets"] = descriptors
-	stand.Settings(config)["classes"] = []stand.JSON{stand.Class("price-read", "free", 600, giveUpMs)}
+	stand.Settings(config)["classes"] = []stand.JSON{
+		stand.Class("price-read", "free", 600, giveUpMs), stand.Class("bid-submit", "guarded", 1500, 6000)}
 	agent, err := stand.StartAgent(record, temp, config)
 	defer agent.Kill()
 	if err != nil {
@@ -55,14 +56,14 @@
 	time.Sleep(time.Second)
 
 	if stand.Trouble() {
-		record.Printf("%d bad clients connect, send half a head and stay", badClients)
-		for range badClients {
+		record.Printf("%d bad clients connect, send a head and half a body, and stay", badClients)
+		for i := range badClients {
 			conn, err := net.Dial("tcp", agent.Addr)
 			if err != nil {
 				return false, err
 			}
 			defer conn.Close()
-			if _, err := io.WriteString(conn, "GET /price-read/k1 HTTP/1.1\r\nHost: backend.local\r\nRequ"); err != nil {
+			if _, err := io.WriteString(conn, halfRequest(i)); err != nil {
 				return false, err
 			}
 		}
@@ -89,6 +90,12 @@
 	return count > 0, nil
 }
 
+// halfRequest returns the head and the first half of the body of a request.
+func halfRequest(i int) string {
+	return fmt.Sprintf("POST /bid-submit/b1 HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: half-%08d\r\nRequest-Timeout: %dm\r\n"+
+		"Idempotency-Key: half-%08d\r\nContent-Length: 20\r\n\r\nhalf a bod", i, giveUpMs, i)
+}
+
 // ask sends a request on a new connection, and once more on another one if the agent closes the first
 // without an answer. It reports whether the request is lost: it has no answer and its connection is
 // open when its time and lostAfter have passed.
