--- a/review/stand/agent.go
+++ b/review/stand/agent.go
@@ -154,3 +154,18 @@
 	_ = os.Remove(a.Config + ".log")
 	return a.start()
 }
+
+// MemoryKB returns the resident memory of the process without that of files, such as its program, in
+// kB. It is not more than what a platform counts.
+func (a *Agent) MemoryKB() (int, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", a.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if text, found := strings.CutPrefix(line, "RssAnon:"); found {
+			return strconv.Atoi(strings.Fields(text)[0])
+		}
+	}
+	return 0, errors.New("the process has no RssAnon")
+}
