--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,30 +1,29 @@
-// Command 3 is the case of bad clients that stop in the middle of a request and stay, while the usual
-// clients open new connections.
+// Command 3 is the case of bad clients whose heads never end, and of an agent that goes over its limit
+// of memory.
 package main
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ploverreel/review/stand"
 )
 
 const (
-	badClients   = 300                   // connections by the hundred
-	requests     = 40                    // of usual clients, each on a new connection
-	interval     = 50 * time.Millisecond // between two of them
-	timeout      = time.Second           // of each: 40% of the class's give-up time
-	giveUpMs     = 2500
-	lostAfter    = 500 * time.Millisecond // past its time a request without an answer is lost
-	socketsSlack = 50 * time.Millisecond  // each time limit is 50 ms longer on sockets
-	descriptors  = 256
+	badClients  = 300 // connections by the hundred
+	headBytes   = 19000
+	memoryMB    = 64
+	descriptors = 640
+	length      = 20 * time.Second
+	pause       = 100 * time.Millisecond // between two requests of the usual client
 )
 
 func main() { stand.Run(os.Args[1], run) }
@@ -45,9 +44,7 @@
 		return false, err
 	}
 	config := stand.Config("agent-1", listen, discovery.Addr, discovery.List())
-	config["limits"].(stand.JSON)["sockets"] = descriptors
-	stand.Settings(config)["classes"] = []stand.JSON{
-		stand.Class("price-read", "free", 600, giveUpMs), stand.Class("bid-submit", "guarded", 1500, 6000)}
+	config["limits"] = stand.JSON{"cores": 1.0, "memory_mb": memoryMB, "sockets": descriptors}
 	agent, err := stand.StartAgent(record, temp, config)
 	defer agent.Kill()
 	if err != nil {
@@ -55,77 +52,98 @@
 	}
 	time.Sleep(time.Second)
 
+	var stop atomic.Bool
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	defer stop.Store(true)
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		usualClient(record, agent.Addr, &stop)
+	}()
 	if stand.Trouble() {
-		record.Printf("%d bad clients connect, send a head and half a body, and stay", badClients)
-		for i := range badClients {
-			conn, err := net.Dial("tcp", agent.Addr)
-			if err != nil {
-				return false, err
-			}
-			defer conn.Close()
-			if _, err := io.WriteString(conn, halfRequest(i)); err != nil {
-				return false, err
-			}
+		record.Printf("%d bad clients connect, send %d bytes of a head that does not end, and stay", badClients, headBytes)
+		head := endlessHead()
+		for range badClients {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				badClient(agent.Addr, head, &stop)
+			}()
 		}
 	}
-	var wait sync.WaitGroup
-	lost := make(chan bool, requests)
-	for i := range requests {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			lost <- ask(record, agent.Addr, fmt.Sprintf("request-%08d", i))
-		}()
-		time.Sleep(interval)
-	}
-	wait.Wait()
-	close(lost)
-	count := 0
-	for each := range lost {
-		if each {
-			count++
+	// The platform: over its limit of memory the agent is killed.
+	peak, lastShown := 0, time.Now()
+	for start := time.Now(); time.Since(start) < length; time.Sleep(10 * time.Millisecond) {
+		memory, err := agent.MemoryKB()
+		if err != nil {
+			if agent.Ended() {
+				record.Printf("broken: the agent has ended by itself")
+				return true, nil
+			}
+			return false, err
+		}
+		if memory > peak {
+			peak = memory
+		}
+		if memory > memoryMB<<10 {
+			record.Printf("broken: the agent uses %d kB, over its limit of %d kB (%d MB), and is killed", memory, memoryMB<<10, memoryMB)
+			return true, nil
+		}
+		if time.Since(lastShown) > 500*time.Millisecond {
+			record.Printf("the agent uses %d kB, at most %d kB so far", memory, peak)
+			lastShown = time.Now()
 		}
 	}
-	record.Printf("lost: %d of %d requests", count, requests)
-	return count > 0, nil
+	record.Printf("the agent used at most %d kB of its %d kB", peak, memoryMB<<10)
+	return false, nil
 }
 
-// halfRequest returns the head and the first half of the body of a request.
-func halfRequest(i int) string {
-	return fmt.Sprintf("POST /bid-submit/b1 HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: half-%08d\r\nRequest-Timeout: %dm\r\n"+
-		"Idempotency-Key: half-%08d\r\nContent-Length: 20\r\n\r\nhalf a bod", i, giveUpMs, i)
+// endlessHead returns the first bytes of a head that consists of short header lines.
+func endlessHead() string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789!#$%&'*+-.^_|~"
+	var head strings.Builder
+	head.WriteString("GET /price-read/k1 HTTP/1.1\r\nHost: backend.local\r\n")
+	for i := 0; head.Len() < headBytes; i++ {
+		fmt.Fprintf(&head, "%c%c:\r\n", letters[i%len(letters)], letters[i/len(letters)%len(letters)])
+	}
+	return head.String()
 }
 
-// ask sends a request on a new connection, and once more on another one if the agent closes the first
-// without an answer. It reports whether the request is lost: it has no answer and its connection is
-// open when its time and lostAfter have passed.
-func ask(record *stand.Record, agent, id string) (lost bool) {
-	for range 2 {
-		sentAt := time.Now()
-		status, err := askOnce(agent, id, sentAt.Add(timeout+lostAfter+socketsSlack))
-		took := time.Since(sentAt).Round(time.Millisecond)
-		switch {
-		case err == nil:
-			record.Printf("%s got %s after %v", id, status, took)
-			return false
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			record.Printf("%s is lost: no answer and no close %v after it was sent, its time was %v", id, took, timeout)
-			return true
+// badClient sends the head and stays until the agent closes the connection, and then does the same
+// again.
+func badClient(agent, head string, stop *atomic.Bool) {
+	for !stop.Load() {
+		conn, err := net.Dial("tcp", agent)
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
 		}
-		record.Printf("%s: closed after %v without an answer: %v", id, took, err)
+		_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
+		_, _ = io.WriteString(conn, head)
+		_, _ = io.Copy(io.Discard, conn)
+		conn.Close()
+	}
+}
+
+// usualClient sends one request after the other, each on a new connection, and records what it gets.
+func usualClient(record *stand.Record, agent string, stop *atomic.Bool) {
+	for i := 0; !stop.Load(); i++ {
+		sentAt := time.Now()
+		status, err := ask(agent, fmt.Sprintf("request-%08d", i))
+		record.Printf("request-%08d got %q (%v) after %v", i, status, err, time.Since(sentAt).Round(time.Millisecond))
+		time.Sleep(pause)
 	}
-	return false
 }
 
-func askOnce(agent, id string, end time.Time) (status string, err error) {
+func ask(agent, id string) (status string, err error) {
 	conn, err := net.Dial("tcp", agent)
 	if err != nil {
 		return "", err
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(end)
-	if _, err := fmt.Fprintf(conn, "GET /price-read/k1 HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Timeout: %dm\r\n\r\n",
-		id, timeout.Milliseconds()); err != nil {
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	if _, err := fmt.Fprintf(conn, "GET /price-read/k1 HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Timeout: 2000m\r\n\r\n", id); err != nil {
 		return "", err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
