Read no request that a client hides in the body of another one

Cause: the agent recognizes an ambiguous length by http.Request.TransferEncoding. In HTTP/1.0 net/http deletes the Transfer-Encoding before the handler sees the request (parseTransferEncoding in its transfer.go), uses the Content-Length, and reads what follows as the next request.

No byte behind a length that can't be trusted is read as a request, so nothing can hide there.

--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -32,7 +32,7 @@
 	conn := clientConnOf(r)
 	receivedAt := a.beginRequest(w, conn)
 	if r.Method == http.MethodGet && r.RequestURI == "/ready" {
-		a.serveReady(w)
+		a.serveReady(w, r)
 		return
 	}
 	conf := a.config.Load()
--- a/internal/agent/read_request.go
+++ b/internal/agent/read_request.go
@@ -46,6 +46,9 @@
 // readRequest reads and checks a client's request, including the body. Its errors are of type
 // *requestError.
 func (a *Agent) readRequest(conf *config.Config, w http.ResponseWriter, r *http.Request, receivedAt time.Time) (*request, error) {
+	if err := checkVersion(r); err != nil {
+		return nil, err
+	}
 	if err := checkFraming(r); err != nil {
 		return nil, err
 	}
@@ -75,6 +78,16 @@
 	return req, a.readBody(w, r, req)
 }
 
+// checkVersion rejects a request of an HTTP version below 1.1. Such a request can't be checked for an
+// ambiguous length: the HTTP server deletes its Transfer-Encoding, which RFC 9112, section 6.1,
+// declares invalid in that version, and uses the Content-Length.
+func checkVersion(r *http.Request) error {
+	if !r.ProtoAtLeast(1, 1) {
+		return &requestError{status: http.StatusHTTPVersionNotSupported, reason: "HTTP version: below 1.1"}
+	}
+	return nil
+}
+
 // checkFraming rejects a request whose length is ambiguous, one whose body is too long, and one
 // that is meant for a proxy.
 func checkFraming(r *http.Request) error {
--- a/internal/agent/ready.go
+++ b/internal/agent/ready.go
@@ -36,8 +36,17 @@
 }
 
 // serveReady responds to /ready. The agent can serve requests if it is ready and isn't shutting
-// down.
-func (a *Agent) serveReady(w http.ResponseWriter) {
+// down. A call whose length is ambiguous is rejected. One of an HTTP version below 1.1 can't be
+// checked for that (see checkVersion), so its connection is closed with the response. In either
+// case no byte that follows is read as a request.
+func (a *Agent) serveReady(w http.ResponseWriter, r *http.Request) {
+	if err := checkFraming(r); err != nil {
+		a.writeRequestError(w, r, err)
+		return
+	}
+	if checkVersion(r) != nil {
+		w.Header().Set("Connection", "close")
+	}
 	if a.shutdownAt.Load() != nil || !a.loop.ready.isReady.Load() {
 		http.Error(w, "no backend to send to", http.StatusServiceUnavailable)
 		return
