Discard responses of ambiguous length from bid servers

What callers saw in a test: for an answer in HTTP/1.0 with a Transfer-Encoding the client got 200 with the framing of the chunks in its body ("4\r\ndone\r\n0\r\n\r\n"); with both lengths, or with a space behind the name of a length field, it got the body that one of them gives.

Change: the head of an answer is read as text first and then parsed by net/http. An answer with a length field that net/http has not used is discarded, as a failed attempt that may have run. Answers in HTTP/1.0 without a Transfer-Encoding, and chunked ones without a Content-Length, are served as before.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -1,13 +1,11 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -195,23 +193,15 @@
 	return &WriteError{incomplete: n < len(message), err: err}
 }
 
-// readers holds read buffers. They are not part of the connections because only an attempt that
-// reads a response needs one.
-var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
-
 // read reads the response to the request and reports whether the connection can be reused. The
 // error is a *ResponseError.
 func (a *Attempt) read(conn *pooledConn, outgoing *http.Request) (result Result, reusable bool, err error) {
-	reader := readers.Get().(*bufio.Reader)
-	reader.Reset(conn)
-	defer func() {
-		reader.Reset(nil)
-		readers.Put(reader)
-	}()
+	reader := newResponseReader(conn)
+	defer reader.release()
 	result, reusable, err = readResponse(conn, reader, outgoing)
 	if a.ctx.Err() == nil { // how a cancelled attempt ends doesn't depend on the connection's idle time
 		a.conns.pool.observeReuse(conn, err != nil && conn.readBudget == maxResponseHead)
 	}
 	// Surplus bytes behind the response belong to no request, so the connection is not reused.
-	return result, reusable && err == nil && reader.Buffered() == 0, err
+	return result, reusable && err == nil && reader.buffered() == 0, err
 }
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -24,6 +24,7 @@
 var (
 	errResponseTooLong = errors.New("longer than the limit")
 	errNotAResponse    = errors.New("not a response to this request")
+	errAmbiguousLength = errors.New("ambiguous length")
 )
 
 // Error says why an attempt got no complete response and how much of the request was written. It
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"io"
 	"net/http"
 
@@ -18,7 +17,7 @@
 // readResponse reads the response to a request and reports whether the connection can be reused. If
 // any part of the response is wrong, all of it is discarded, and the request may have run. The
 // error is a *ResponseError.
-func readResponse(conn *pooledConn, reader *bufio.Reader, request *http.Request) (result Result, reusable bool, err error) {
+func readResponse(conn *pooledConn, reader *responseReader, request *http.Request) (result Result, reusable bool, err error) {
 	response, err := readFinalHead(reader, request)
 	if err != nil {
 		return Result{}, false, &ResponseError{err}
@@ -47,9 +46,9 @@
 
 // readFinalHead reads the head of the response to a request and skips the interim (1xx) responses
 // before it.
-func readFinalHead(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+func readFinalHead(reader *responseReader, request *http.Request) (*http.Response, error) {
 	for i := 0; ; i++ {
-		response, err := http.ReadResponse(reader, request)
+		response, err := reader.readHead(request)
 		if err != nil {
 			return nil, err
 		}
