Bound the memory of the heads of requests by their lines, and by memory_mb

Cause: a head was limited in bytes alone (16 KiB, and 4 KiB of net/http), but its parsed form is many times as large. Heap profile of 200 such connections, after a collection: 287 kB each, 93% of all in net/textproto.readMIMEHeader; with lines of 190 bytes 38 kB, with one line 28 kB, with one byte 11 kB. The same memory was held by complete heads while their body was awaited (272 kB each), and by heads that the server had read together with an earlier request. And as nothing bounds all heads together, 600 slots at 32 MB came within 40 kB of the limit with heads of only 90 lines (trial).

Change: a Conn counts the header lines as it reads them; above 100 the head is refused with 431. All heads that need more than 4 KiB may take an eighth of limits.memory_mb together, as the bodies do; above that a large head gets 503 with Retry-After. Usual heads are below and not counted. A refused head that never ends gets its response when the head should have ended: in a trial that answered at once the clients came back at once, and usual requests took 150 ms in place of 20 at 32 MB. /ready closes its connection like other requests when too many are kept alive.

--- a/internal/agent/read_request.go
+++ b/internal/agent/read_request.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"ploverreel/internal/clientconn"
 	"ploverreel/internal/config"
 	"ploverreel/policy"
 )
@@ -20,9 +21,6 @@
 	maxBodyBytes = 64 << 10
 	// maxTokenBytes bounds the length of a Request-Id and of a Host.
 	maxTokenBytes = 256
-	// bodyMemoryDivisor divides the memory limit of the process. The quotient bounds all request
-	// bodies in memory together.
-	bodyMemoryDivisor = 8
 
 	// bodyTimeout bounds the time in which a request's body arrives. A faulty client must get an
 	// error or a close within 3 s of connecting. The sum of clientconn.HeadTimeout and bodyTimeout
@@ -88,8 +86,8 @@
 	return nil
 }
 
-// checkFraming rejects a request whose length is ambiguous, one whose body is too long, and one
-// that is meant for a proxy.
+// checkFraming rejects a request whose length is ambiguous, one whose head or body is too long, and
+// one that is meant for a proxy.
 func checkFraming(r *http.Request) error {
 	switch {
 	case len(r.TransferEncoding) > 0 || r.ContentLength < 0:
@@ -99,12 +97,23 @@
 		return &requestError{status: http.StatusLengthRequired, reason: "Transfer-Encoding: not taken"}
 	case r.ContentLength > maxBodyBytes:
 		return &requestError{status: http.StatusRequestEntityTooLarge, reason: "body: above 64 KiB"}
+	case headerLines(r) > clientconn.MaxHeaderLines:
+		return &requestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: "head: too many lines"}
 	case !strings.HasPrefix(r.RequestURI, "/"):
 		return &requestError{status: http.StatusBadRequest, reason: "no path: an agent is no proxy"}
 	}
 	return nil
 }
 
+// headerLines returns the number of header lines of a request, including Host.
+func headerLines(r *http.Request) int {
+	lines := 1 // the HTTP server has removed Host from the header
+	for _, values := range r.Header {
+		lines += len(values)
+	}
+	return lines
+}
+
 // readUniqueHeaders reads the headers that may occur at most once, and returns the value of
 // Request-Timeout.
 func readUniqueHeaders(req *request, header http.Header) (timeoutText string, err error) {
@@ -185,7 +194,7 @@
 }
 
 // readBody reads the body, whose length is in the head. It rejects the request if all bodies in
-// memory together would exceed the bound of bodyMemoryDivisor.
+// memory together would exceed config.Limits.BodyMemory.
 func (a *Agent) readBody(w http.ResponseWriter, r *http.Request, req *request) error {
 	if r.ContentLength == 0 {
 		return nil
@@ -196,7 +205,7 @@
 			a.bodyBytes.Add(-r.ContentLength)
 		}
 	}()
-	if inMemory > int64(req.config.Limits.MemoryMB*(1<<20)/bodyMemoryDivisor) {
+	if inMemory > req.config.Limits.BodyMemory() {
 		return &requestError{status: http.StatusServiceUnavailable, reason: "body: no memory left",
 			retryAfter: maxRetryAfter(req.config)}
 	}
--- a/internal/agent/read_request_test.go
+++ b/internal/agent/read_request_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ploverreel/internal/agenttest"
+	"ploverreel/internal/clientconn"
 )
 
 // bodyOf returns a body of n bytes.
@@ -109,6 +110,7 @@
 		{"chunked", func(r *http.Request) { r.TransferEncoding = []string{"chunked"} }, 411, "Transfer-Encoding"},
 		{"no length", func(r *http.Request) { r.ContentLength = -1 }, 411, "Transfer-Encoding"},
 		{"long body", func(r *http.Request) { r.ContentLength = maxBodyBytes + 1 }, 413, "body"},
+		{"many lines", func(r *http.Request) { r.Header["X"] = make([]string, clientconn.MaxHeaderLines) }, 431, "head: too many lines"},
 		{"absolute form", func(r *http.Request) { r.RequestURI = "http://c/send/u1" }, 400, "no path"},
 		{"unknown class", func(r *http.Request) { r.URL.Path = "/none/u1" }, 404, "unknown class"},
 		{"two ids", func(r *http.Request) { r.Header.Add("Request-Id", "again") }, 400, "Request-Id: more than one"},
--- a/internal/agent/ready.go
+++ b/internal/agent/ready.go
@@ -44,7 +44,7 @@
 		a.writeRequestError(w, r, err)
 		return
 	}
-	if checkVersion(r) != nil {
+	if checkVersion(r) != nil || !a.clients.MayKeepAlive() {
 		w.Header().Set("Connection", "close")
 	}
 	if a.shutdownAt.Load() != nil || !a.loop.ready.isReady.Load() {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -56,6 +56,7 @@
 		clients:       clientconn.NewTable(conf.Limits.ClientSockets(), conf.Limits.KeepAliveSockets()),
 		drainDeadline: make(chan struct{}), afterFunc: time.AfterFunc,
 	}
+	a.clients.SetHeadMemoryLimit(conf.Limits.HeadMemory(), maxRetryAfter(conf))
 	a.config.Store(conf)
 	a.maxDeadline.Store(int64(a.initialMaxDeadline))
 	a.server = a.newServer()
@@ -121,6 +122,7 @@
 	}
 	a.maxDeadline.Store(max(a.maxDeadline.Load(), int64(next.MaxDeadline())))
 	a.clients.Resize(next.Limits.ClientSockets(), next.Limits.KeepAliveSockets())
+	a.clients.SetHeadMemoryLimit(next.Limits.HeadMemory(), maxRetryAfter(next))
 	// From here on new requests use the classes of next. The loop must know these classes before, so
 	// this is the last step.
 	a.config.Store(next)
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -49,6 +49,7 @@
 	readAhead           []byte    // read while a request was in progress, not yet passed to the server
 	readAheadAt         time.Time // when the first byte of readAhead was read
 	readAheadOverflowed bool      // bytes above maxReadAhead were dropped; Read returns EOF after readAhead
+	refused             bool      // a head was refused and its client got the response; Read returns EOF
 }
 
 // NetConn returns the connection that the listener accepted. A caller may use it to detect that the
@@ -57,35 +58,52 @@
 
 // Read is called by the server to read heads and bodies. While a handler runs, the server also
 // calls it with a buffer of one byte, in the background, to detect that the client has
-// disconnected.
+// disconnected. If the head of a request is refused, Read responds to the client and returns io.EOF,
+// on which the server closes the connection without a response of its own.
 func (c *Conn) Read(buffer []byte) (n int, err error) {
-	background := len(buffer) == 1
-	var receivedAt time.Time
-	switch {
-	case len(c.readAhead) > 0:
-		receivedAt = c.readAheadAt
-		n = c.takeReadAhead(buffer)
-	case c.readAheadOverflowed:
+	if c.refused {
 		return 0, io.EOF
-	default:
-		n, err = c.receive(buffer)
-		// A client's deadline counts from the time at which the client wrote the request. How long
-		// the bytes were in the kernel is unknown, but all time from here on is included.
-		receivedAt = time.Now()
-		if !c.firstSeenAt.IsZero() {
-			receivedAt, c.firstSeenAt = c.firstSeenAt, time.Time{}
-		}
 	}
+	isHead, refusal := c.beginRead(len(buffer))
+	if refusal != nil {
+		return 0, c.refuse(refusal, buffer, false) // at once: the server has already parsed a part of the head
+	}
+	n, receivedAt, err := c.readNext(buffer, isHead)
 	if n == 0 {
 		return n, err
 	}
 	c.received.Store(true)
-	if active := c.recordRead(background, receivedAt); active && err == nil && background {
+	background := len(buffer) == 1
+	active, refusal := c.recordRead(buffer[:n], background, receivedAt)
+	if refusal != nil {
+		c.discardHead(buffer)
+		return 0, c.refuse(refusal, buffer, true)
+	}
+	if active && err == nil && background {
 		return n, c.watchForDisconnect()
 	}
 	return n, err
 }
 
+// readNext reads the bytes of readAhead or, if there are none, from the socket. It returns the time
+// at which they arrived.
+func (c *Conn) readNext(buffer []byte, isHead bool) (n int, receivedAt time.Time, err error) {
+	switch {
+	case len(c.readAhead) > 0:
+		return c.takeReadAhead(buffer), c.readAheadAt, nil
+	case c.readAheadOverflowed:
+		return 0, time.Time{}, io.EOF
+	}
+	n, err = c.receive(buffer, isHead)
+	// A client's deadline counts from the time at which the client wrote the request. How long the
+	// bytes were in the kernel is unknown, but all time from here on is included.
+	receivedAt = time.Now()
+	if !c.firstSeenAt.IsZero() {
+		receivedAt, c.firstSeenAt = c.firstSeenAt, time.Time{}
+	}
+	return n, receivedAt, err
+}
+
 // takeReadAhead moves bytes from readAhead to the buffer and returns their number.
 func (c *Conn) takeReadAhead(buffer []byte) int {
 	n := copy(buffer, c.readAhead)
@@ -97,8 +115,7 @@
 
 // receive reads from the socket. If a read of a head times out but bytes have arrived by then, it
 // reads them.
-func (c *Conn) receive(buffer []byte) (int, error) {
-	isHead := c.beginRead(len(buffer))
+func (c *Conn) receive(buffer []byte, isHead bool) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	if n == 0 && isHead && errors.Is(err, os.ErrDeadlineExceeded) && c.retryAfterTimeout() {
 		return c.Conn.Read(buffer)
--- a/internal/clientconn/doc.go
+++ b/internal/clientconn/doc.go
@@ -8,6 +8,10 @@
 // out, so that a request that arrives at the same time is still answered. Only a connection whose
 // request was answered with an error is closed directly.
 //
+// A Conn counts the header lines of each head as it is read, and the table bounds the memory of large
+// heads. A head that exceeds a limit is refused: the Conn responds itself, and the server reads the
+// end of the connection.
+//
 // A Conn belongs to the server's goroutine for that connection. Only that goroutine may read from
 // it. BeginRequest, MarkRejected and NetConn are for the handler of its request. All methods of
 // Table may be called from any goroutine. Only ReapIdleUntil blocks.
--- a/internal/clientconn/eviction.go
+++ b/internal/clientconn/eviction.go
@@ -102,9 +102,9 @@
 	_ = c.Conn.SetReadDeadline(now)
 }
 
-// closeRejected closes a connection whose request was answered with an error. The server does not
-// read from it any more. The caller holds t.mu.
+// closeRejected closes a connection whose request was answered with an error. No byte that is read
+// from it is used any more. The caller holds t.mu.
 func (t *Table) closeRejected(c *Conn) {
 	c.Conn.Close()
-	delete(t.conns, c)
+	t.delete(c)
 }
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -13,6 +13,11 @@
 	receivedAt         time.Time // when the last bytes of the most recent head were read
 	bufferSize         int       // size of the server's read buffer: the largest of its reads so far
 	peekedAfterTimeout bool      // a read of this head timed out but was repeated, as bytes were unread
+	serverWaited       bool      // on an idle connection, the server has set the deadline for the wait for the next head
+	inServerBuffer     bool      // the server read the beginning of this head together with an earlier request
+	scan               headScan  // of the head in progress, or of that of the request in progress
+	unscanned          unscannedText
+	reserved           int64 // bytes of Table.headMemory that this head uses
 }
 
 // start records that the first bytes of a head were read at now, on a connection that has waited
@@ -31,23 +36,39 @@
 func (h *headState) awaitNext(since time.Time) {
 	h.peekedAfterTimeout = false
 	h.deadline = since.Add(HeadTimeout)
+	h.serverWaited, h.inServerBuffer, h.scan = false, false, headScan{}
+}
+
+// recordScan scans bytes of the head in progress. Bytes behind its end may belong to the next one.
+func (h *headState) recordScan(read []byte) {
+	if h.inServerBuffer {
+		h.unscanned.add(read)
+		return
+	}
+	if h.scan == (headScan{}) {
+		h.unscanned = unscannedText{} // the server's buffer was empty
+	}
+	h.unscanned.add(h.scan.scan(read))
 }
 
 // beginRead records that the server reads into a buffer of size bytes, and reports whether it reads
 // the head of a request. The server's first read is into its whole buffer. A later read into a
 // smaller one means that the server already holds bytes of the next request, which it read together
-// with the previous request.
-func (c *Conn) beginRead(size int) (isHead bool) {
+// with the previous request. If that head is refused, beginRead returns the reason.
+func (c *Conn) beginRead(size int) (isHead bool, refusal *headRefusal) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	if !c.awaitsHead() {
-		return false
+		return false, nil
 	}
 	c.head.bufferSize = max(c.head.bufferSize, size)
 	if size < c.head.bufferSize && !c.head.started {
 		c.startHead(time.Now())
 	}
-	return true
+	if c.head.inServerBuffer {
+		return true, c.checkHead()
+	}
+	return true, nil
 }
 
 // startHead records that the first bytes of a head were read. The head must be complete by its
@@ -80,21 +101,23 @@
 
 // recordRead records that bytes were read that arrived at receivedAt. If background is set, the
 // server read them while a handler runs; otherwise they are part of a request. It reports whether a
-// request is in progress.
-func (c *Conn) recordRead(background bool, receivedAt time.Time) (active bool) {
+// request is in progress. If the bytes belong to a head that is refused, it returns the reason.
+func (c *Conn) recordRead(read []byte, background bool, receivedAt time.Time) (active bool, refusal *headRefusal) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	switch {
 	case c.stage == stageActive:
 		c.head.started = c.head.started || background
-		return true
+		c.head.unscanned.add(read)
+		return true, nil
 	case !c.head.started:
 		c.startHead(time.Now())
 	case c.head.peekedAfterTimeout:
 		_ = c.Conn.SetReadDeadline(c.head.deadline)
 	}
 	c.head.receivedAt = receivedAt
-	return false
+	c.head.recordScan(read)
+	return false, c.checkHead()
 }
 
 // SetReadDeadline is called by the server. A connection that the table is closing keeps its expired
@@ -105,6 +128,9 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	if c.awaitsHead() {
+		if c.stage == stageIdle {
+			c.detectBufferedHead()
+		}
 		switch {
 		case deadline.IsZero():
 			c.stage, c.stageSince, c.head.started = stageActive, time.Now(), false
@@ -116,3 +142,16 @@
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
+
+// detectBufferedHead records that the server sets a read deadline on an idle connection. It sets one
+// before it waits for the first bytes of the next head, and another one when it has them. If it has
+// read nothing in between, it read these bytes together with an earlier request. The caller holds
+// table.mu.
+func (c *Conn) detectBufferedHead() {
+	if c.head.serverWaited && !c.head.started && !c.head.inServerBuffer {
+		c.startHead(time.Now())
+		c.head.inServerBuffer = true
+		c.head.unscanned.limit(c.head.bufferSize)
+	}
+	c.head.serverWaited = true
+}
--- a/internal/clientconn/stage.go
+++ b/internal/clientconn/stage.go
@@ -55,6 +55,7 @@
 	case stageActive:
 		c.head.started = false // the head is complete
 	case stageIdle:
+		c.table.headMemory.release(&c.head)
 		c.head.awaitNext(c.stageSince)
 	}
 }
--- a/internal/clientconn/table.go
+++ b/internal/clientconn/table.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -14,6 +15,7 @@
 	maxKeepAlive int // while more connections are idle or active, none is kept alive after a response
 	conns        map[*Conn]struct{}
 	waiting      int // number of accepted connections that wait for a slot
+	headMemory   headMemoryLimit
 
 	// freed has an item after a slot has become free. A buffer of one item is enough: however many
 	// slots have become free, a waiter that receives the item checks the whole table again.
@@ -28,7 +30,8 @@
 // idle or active, no connection is kept alive after its response.
 func NewTable(maxConns, maxKeepAlive int) *Table {
 	return &Table{maxConns: maxConns, maxKeepAlive: maxKeepAlive, conns: map[*Conn]struct{}{},
-		freed: make(chan struct{}, 1), silentGrace: defaultSilentGrace, acquireTimeout: defaultAcquireTimeout}
+		headMemory: headMemoryLimit{max: math.MaxInt64},
+		freed:      make(chan struct{}, 1), silentGrace: defaultSilentGrace, acquireTimeout: defaultAcquireTimeout}
 }
 
 // Resize changes the limits. Connections above a lowered limit are closed when new ones arrive.
@@ -95,7 +98,7 @@
 // remove frees the slot of a closed connection.
 func (t *Table) remove(c *Conn) {
 	t.mu.Lock()
-	delete(t.conns, c)
+	t.delete(c)
 	t.mu.Unlock()
 	select {
 	case t.freed <- struct{}{}:
@@ -103,6 +106,13 @@
 	}
 }
 
+// delete removes a connection from the table, unless it was removed before, and releases the memory
+// of its head. The caller holds t.mu.
+func (t *Table) delete(c *Conn) {
+	delete(t.conns, c)
+	t.headMemory.release(&c.head)
+}
+
 // Count returns the number of connections that are accepted and not closed, including those that
 // wait for a slot.
 func (t *Table) Count() int {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -18,6 +18,12 @@
 	minRejectionSlots = 8
 )
 
+// Divisions of the memory limit. The quotients bound parts of the memory.
+const (
+	bodyMemoryDivisor = 8 // the bodies of all requests in progress together
+	headMemoryDivisor = 8 // the larger heads of all requests together
+)
+
 // Limits holds the resources that the process may use. Its methods divide the file descriptors
 // between their uses.
 type Limits struct {
@@ -45,3 +51,10 @@
 	slots := l.ClientSockets()
 	return slots - max(slots/rejectionSlotsDivisor, minRejectionSlots)
 }
+
+// BodyMemory returns the largest number of bytes of all request bodies in memory together.
+func (l Limits) BodyMemory() int64 { return int64(l.MemoryMB * (1 << 20) / bodyMemoryDivisor) }
+
+// HeadMemory returns how many bytes of memory all request heads may use together that are larger
+// than usual.
+func (l Limits) HeadMemory() int64 { return int64(l.MemoryMB * (1 << 20) / headMemoryDivisor) }
