Bound the lines of the head of a bid server's response

The same cause as that of the heads of requests, on the path of the answers: the head of a response was limited to 16 KiB, but not in its lines, and the parsed head is kept while the body is awaited.

Change: a head of over 100 lines is discarded before it is parsed, as a failed attempt that may have run. 100 is the limit for the heads of requests, too.

--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -11,6 +11,7 @@
 const (
 	maxResponseBody     = 64 << 10 // bytes of a response's body
 	maxResponseHead     = 16 << 10 // bytes of a response head, with the interim (1xx) responses before it
+	maxHeadLines        = 100      // lines of one response head, as its parsed form takes memory for each
 	maxInterimResponses = 8        // number of interim (1xx) responses before the final response
 )
 
--- a/internal/backend/response_reader.go
+++ b/internal/backend/response_reader.go
@@ -62,11 +62,12 @@
 	return response, err
 }
 
-// readHeadText reads the text of one head, up to and including the blank line that ends it. The
-// connection's read budget bounds its size.
+// readHeadText reads the text of one head, up to and including the blank line that ends it. It
+// returns errResponseTooLong if there are more than maxHeadLines before that line. The connection's
+// read budget bounds the size of the text.
 func (r *responseReader) readHeadText() error {
 	r.head = r.head[:0]
-	for {
+	for range maxHeadLines + 1 {
 		lineStart := len(r.head)
 		err := r.readLine()
 		if err == io.EOF {
@@ -79,6 +80,7 @@
 			return nil
 		}
 	}
+	return errResponseTooLong
 }
 
 // readLine appends the next line to the head, with its line feed.
