--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ploverreel/internal/endpointlist"
+	"ploverreel/internal/fielderror"
 )
 
 var (
@@ -89,13 +90,14 @@
 func (c *Client) deliverLists(ctx context.Context, reader *listReader, result *watchResult) error {
 	lists := json.NewDecoder(reader)
 	for {
-		var list endpointlist.List
-		if err := lists.Decode(&list); err != nil {
-			return cmp.Or(context.Cause(ctx), err)
-		}
-		if err := list.Validate(); err != nil {
+		list, err := endpointlist.Decode(lists)
+		var invalid *fielderror.Error
+		if errors.As(err, &invalid) {
 			return fmt.Errorf("list: %w", err)
 		}
+		if err != nil {
+			return cmp.Or(context.Cause(ctx), err)
+		}
 		if !result.receivedData {
 			return errWatchSuperseded
 		}
--- a/internal/endpointlist/endpointlist.go
+++ b/internal/endpointlist/endpointlist.go
@@ -5,11 +5,14 @@
 package endpointlist
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"net"
+	"reflect"
 	"strconv"
 
 	"ploverreel/internal/fielderror"
@@ -39,30 +42,81 @@
 	"ready": policy.HealthReady, "draining": policy.HealthDraining, "gone": policy.HealthGone,
 }
 
-// Parse parses and validates one list. Its error comes from the JSON decoder or from Validate.
+// Parse parses and validates one list. Its error comes from the JSON decoder, or is a
+// *fielderror.Error of the first invalid field.
 func Parse(text []byte) (List, error) {
-	var list List
-	if err := json.Unmarshal(text, &list); err != nil {
-		return list, err
-	}
-	return list, list.Validate()
+	var decoded checkedList
+	err := json.Unmarshal(text, &decoded)
+	return decoded.result(err)
+}
+
+// Decode reads and validates the next list of a stream. Its errors are those of Parse and of the
+// stream.
+func Decode(stream *json.Decoder) (List, error) {
+	var decoded checkedList
+	err := stream.Decode(&decoded)
+	return decoded.result(err)
+}
+
+// checkedList is a List that is validated while it is decoded.
+type checkedList struct {
+	Seq   int64        `json:"seq"`
+	Whole bool         `json:"whole"`
+	Hosts checkedHosts `json:"hosts"`
 }
 
-// Validate returns a *fielderror.Error of the first invalid field, or nil.
-func (l *List) Validate() error {
+// result returns the decoded list, or the error of the decoder or of the validation.
+func (l *checkedList) result(err error) (List, error) {
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) && mismatch.Field == "" {
+		mismatch.Type = reflect.TypeFor[List]() // the type that callers know
+	}
+	if err != nil {
+		return List{}, err
+	}
 	if l.Hosts == nil {
-		return fielderror.Errorf("hosts", "missing") // other JSON must not pass as a list without backends
+		return List{}, fielderror.Errorf("hosts", "missing") // other JSON must not pass as a list without backends
 	}
-	for i, host := range l.Hosts {
-		health, known := healthByName[host.Health]
-		switch {
-		case host.Host == "":
-			return fielderror.Errorf(fmt.Sprintf("hosts[%d].host", i), "missing")
-		case !known:
-			return fielderror.Errorf(fmt.Sprintf("hosts[%d].health", i), "unknown word %q", host.Health)
-		case health != policy.HealthGone && CheckAddress(host.Dial) != nil:
-			return fielderror.Errorf(fmt.Sprintf("hosts[%d].dial", i), "no address with a port: %q", host.Dial)
+	return List{Seq: l.Seq, Whole: l.Whole, Hosts: l.Hosts}, nil
+}
+
+// checkedHosts are the hosts of a list. They are decoded host by host up to the first invalid one:
+// a decoded host takes many times as much memory as its text if it has no valid fields.
+type checkedHosts []Host
+
+// UnmarshalJSON implements json.Unmarshaler. It returns a *fielderror.Error of the first invalid
+// field.
+func (l *checkedHosts) UnmarshalJSON(text []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	if start, err := decoder.Token(); err != nil || start != json.Delim('[') {
+		return json.Unmarshal(text, (*[]Host)(l)) // null, or a value of a wrong type
+	}
+	hosts := []Host{}
+	for decoder.More() {
+		var host Host
+		if err := decoder.Decode(&host); err != nil {
+			return err
+		}
+		if err := host.validate(len(hosts)); err != nil {
+			return err
 		}
+		hosts = append(hosts, host)
+	}
+	*l = hosts
+	return nil
+}
+
+// validate returns a *fielderror.Error of the first invalid field of the host with the index i in
+// its list, or nil.
+func (h *Host) validate(i int) error {
+	health, known := healthByName[h.Health]
+	switch {
+	case h.Host == "":
+		return fielderror.Errorf(fmt.Sprintf("hosts[%d].host", i), "missing")
+	case !known:
+		return fielderror.Errorf(fmt.Sprintf("hosts[%d].health", i), "unknown word %q", h.Health)
+	case health != policy.HealthGone && CheckAddress(h.Dial) != nil:
+		return fielderror.Errorf(fmt.Sprintf("hosts[%d].dial", i), "no address with a port: %q", h.Dial)
 	}
 	return nil
 }
