Bound the header of discovery's responses to 16 KiB

The parsed header of a response takes many times as much memory as its text in short lines (see the heads of requests), and a watch makes up to four calls at a time. 64 KiB per header had no reason; the other readers of the agent allow 16 KiB. TestFetchRejectsALongHeader fails without the change.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -20,7 +20,7 @@
 
 const (
 	// maxHeaderBytes bounds the size of a response's header.
-	maxHeaderBytes = 64 << 10
+	maxHeaderBytes = 16 << 10
 	// maxListBytes bounds the size of one list.
 	maxListBytes = 4 << 20
 )
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -1,8 +1,10 @@
 package discovery
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -42,6 +44,24 @@
 	}
 }
 
+// The parsed header of a response takes many times as much memory as its text, so the text is bounded.
+func TestFetchRejectsALongHeader(t *testing.T) {
+	for lines, fails := range map[int]bool{100: false, maxHeaderBytes / len("X: \r\n"): true} {
+		addr := agenttest.RawBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+			if _, err := agenttest.ReadRequest(reader); err != nil {
+				return
+			}
+			body := strings.Replace(agenttest.EndpointChange, "false", "true", 1)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s", len(body), strings.Repeat("X: \r\n", lines), body)
+		})
+		client, results := newClient(t, addr, Shared)
+		client.Fetch(NoRetry)
+		if got := next[Fetched](t, results); (got.Err != nil) != fails {
+			t.Errorf("%d lines: got error %v, want one: %v", lines, got.Err, fails)
+		}
+	}
+}
+
 // The configuration alone sets the address of discovery.
 func TestWatchDoesNotFollowRedirects(t *testing.T) {
 	elsewhere := agenttest.NewDiscovery(t)
