Reject calls of /ready that have a body

The handler had answered, but net/http first reads the rest of the body, without a deadline, and a connection with a request in progress is never evicted.

Change: a call of /ready with a body is rejected like any GET with a body, which sets the deadline for the rest.

--- a/internal/agent/read_request.go
+++ b/internal/agent/read_request.go
@@ -41,6 +41,9 @@
 
 func (e *requestError) Error() string { return e.reason }
 
+// errBodyOfGET is the reason why a GET with a body is rejected.
+var errBodyOfGET = &requestError{status: http.StatusBadRequest, reason: "body: none belongs to GET"}
+
 // readRequest reads and checks a client's request, including the body. Its errors are of type
 // *requestError.
 func (a *Agent) readRequest(conf *config.Config, w http.ResponseWriter, r *http.Request, receivedAt time.Time) (*request, error) {
@@ -148,7 +151,7 @@
 	case req.Method != method:
 		return &requestError{status: http.StatusMethodNotAllowed, reason: "this class is asked with " + method}
 	case method == http.MethodGet && contentLength > 0:
-		return &requestError{status: http.StatusBadRequest, reason: "body: none belongs to GET"}
+		return errBodyOfGET
 	case !isValidToken(req.Host):
 		return &requestError{status: http.StatusBadRequest, reason: "Host: missing or no plain word"}
 	case !isValidToken(req.RequestID):
--- a/internal/agent/ready.go
+++ b/internal/agent/ready.go
@@ -35,12 +35,24 @@
 	}
 }
 
+// checkReady rejects a call of /ready whose length is ambiguous, and one with a body, for which the
+// HTTP server would wait without a limit.
+func checkReady(r *http.Request) error {
+	if err := checkFraming(r); err != nil {
+		return err
+	}
+	if r.ContentLength > 0 {
+		return errBodyOfGET
+	}
+	return nil
+}
+
 // serveReady responds to /ready. The agent can serve requests if it is ready and isn't shutting
-// down. A call whose length is ambiguous is rejected. One of an HTTP version below 1.1 can't be
-// checked for that (see checkVersion), so its connection is closed with the response. In either
-// case no byte that follows is read as a request.
+// down. A call of an HTTP version below 1.1 can't be checked for an ambiguous length (see
+// checkVersion), so its connection is closed with the response, and no byte that follows is read as
+// a request.
 func (a *Agent) serveReady(w http.ResponseWriter, r *http.Request) {
-	if err := checkFraming(r); err != nil {
+	if err := checkReady(r); err != nil {
 		a.writeRequestError(w, r, err)
 		return
 	}
