Check heads only while one is awaited, and format Retry-After in one place

The bytes of a rejected request that the server discards were counted as a head; in a case that no test shows (a rejected request behind another one, with no memory left for heads) they could have led to a second response. Found on reading the change. headRefusal needs no Error, and the value of Retry-After was formatted in two places.

--- a/internal/agent/response.go
+++ b/internal/agent/response.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"ploverreel/internal/clientconn"
 	"ploverreel/internal/config"
 	"ploverreel/policy"
 )
@@ -88,7 +89,7 @@
 // setRetryAfter sets Retry-After, in seconds with a fraction, unless after is 0.
 func setRetryAfter(w http.ResponseWriter, after time.Duration) {
 	if after > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+		w.Header().Set("Retry-After", clientconn.FormatRetryAfter(after))
 	}
 }
 
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -116,6 +116,9 @@
 		_ = c.Conn.SetReadDeadline(c.head.deadline)
 	}
 	c.head.receivedAt = receivedAt
+	if !c.awaitsHead() {
+		return false, nil // the server discards the rest of a rejected request
+	}
 	c.head.recordScan(read)
 	return false, c.checkHead()
 }
--- a/internal/clientconn/head_refusal.go
+++ b/internal/clientconn/head_refusal.go
@@ -29,18 +29,21 @@
 	retryAfter time.Duration // 0: no Retry-After
 }
 
-func (r *headRefusal) Error() string { return r.reason }
-
 // response returns the whole text of the response to a refused client.
 func (r *headRefusal) response() string {
 	retryAfter := ""
 	if r.retryAfter > 0 {
-		retryAfter = "Retry-After: " + strconv.FormatFloat(r.retryAfter.Seconds(), 'f', -1, 64) + "\r\n"
+		retryAfter = "Retry-After: " + FormatRetryAfter(r.retryAfter) + "\r\n"
 	}
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s\n",
 		r.status, http.StatusText(r.status), retryAfter, len(r.reason)+1, r.reason)
 }
 
+// FormatRetryAfter returns the value of a Retry-After header: seconds, with a fraction.
+func FormatRetryAfter(after time.Duration) string {
+	return strconv.FormatFloat(after.Seconds(), 'f', -1, 64)
+}
+
 // checkHead returns the reason for which the head in progress is refused, or nil. The caller holds
 // table.mu.
 func (c *Conn) checkHead() *headRefusal {
