--- a/review/peers/client.go
+++ b/review/peers/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -12,10 +13,13 @@
 	"time"
 )
 
-var lastID atomic.Uint64
+var (
+	idPrefix = rand.Uint32() // differs between cases that run at the same time
+	lastID   atomic.Uint32
+)
 
 // NewID returns a new Request-Id.
-func NewID() string { return fmt.Sprintf("%08x%08x", time.Now().Unix()&0xffffffff, lastID.Add(1)) }
+func NewID() string { return fmt.Sprintf("%08x%08x", idPrefix, lastID.Add(1)) }
 
 // Client is a stand-in for the application of one agent. It keeps connections and opens more when all are
 // busy.
