--- a/review/peers/discovery.go
+++ b/review/peers/discovery.go
@@ -17,6 +17,9 @@
 	// Write writes one list on an open answer; nil: at once, as one line.
 	Write func(w http.ResponseWriter, list List) error
 
+	// Wait is how long each call waits for its turn; nil: not at all.
+	Wait func() time.Duration
+
 	record *Record
 	mu     sync.Mutex
 	seq    int
@@ -76,6 +79,14 @@
 }
 
 func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) {
+	if d.Wait != nil {
+		select {
+		case <-time.After(d.Wait()):
+		case <-r.Context().Done():
+			d.record.Line("discovery: the caller gave up %s before its turn", r.URL)
+			return
+		}
+	}
 	query := r.URL.Query()
 	if query.Get("follow") != "1" {
 		list, _ := d.since(0, true)
@@ -123,3 +134,6 @@
 	w.(http.Flusher).Flush()
 	return err
 }
+
+// Close ends all calls and takes no new ones.
+func (d *Discovery) Close() { d.server.Close() }
