--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,101 +1,163 @@
-// Case 7: bid servers send a second copy of some answers a few milliseconds after the first, over a network
-// between data centres.
+// Case 7: bad clients send many requests, and one sends the id of an open request of another client.
 package main
 
 import (
+	"bufio"
 	"fmt"
-	"math/rand/v2"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"ploverreel/review/peers"
 )
 
 const (
-	servers   = 4
-	rate      = 300 // requests a second
-	length    = 60 * time.Second
-	copyShare = 0.25
+	servers  = 12
+	flooders = 100 // connections of the bad clients
+	length   = 36 * time.Second
+	hangs    = 11 * time.Second // for which a bid server hangs in the middle of such a request
+	copyAt   = 10 * time.Second // when a bad client sends a request with its id
 )
 
 func main() {
 	record := peers.NewRecord("review/7/record.txt")
 	var fleet []*peers.Server
-	var mu sync.Mutex
-	copies := 0
 	for i := range servers {
 		server := peers.NewServer(record, fmt.Sprintf("s-%02d", i))
-		server.Work = func() time.Duration { return peers.Between(4*time.Millisecond, 16*time.Millisecond) }
-		if peers.Trouble() {
-			server.Answer = func(conn net.Conn, run *peers.Run) bool {
-				open := peers.WriteOK(conn, run)
-				if !open || rand.Float64() >= copyShare {
-					return open
-				}
-				time.Sleep(peers.Between(2*time.Millisecond, 9*time.Millisecond))
-				if somethingWaits(conn) {
-					return true
-				}
-				mu.Lock()
-				copies++
-				mu.Unlock()
-				record.Line("server %s sends its answer to %s once more", server.Name, run.ID)
-				return peers.WriteOK(conn, run)
+		server.Ignore = func(run *peers.Run) bool { return strings.HasPrefix(run.Target, "/plan-solve") }
+		server.WorkOf = func(run *peers.Run) time.Duration {
+			if strings.HasPrefix(run.Target, "/plan-read/hangs") {
+				return hangs
+			}
+			if run.Body == nil || len(run.Body) == 0 {
+				return 0
 			}
+			return 5 * time.Millisecond
 		}
 		fleet = append(fleet, server)
 	}
 	hosts := peers.Hosts(fleet)
-	for i := range hosts {
-		mean := peers.Between(2500*time.Microsecond, 4700*time.Microsecond)
-		hosts[i].Dial = peers.NewProxy(hosts[i].Dial, func() time.Duration { return peers.Jitter(mean, 0.32) })
-	}
 	discovery := peers.NewDiscovery(record, 41, hosts)
-	agent := peers.StartAgent(record, peers.TempDir(), peers.Config(0, 4, discovery.Addr, peers.List{Seq: 41, Whole: true, Hosts: hosts}))
-	client := peers.NewClient(record, agent.Addr)
+	config := peers.Config(0, 3, discovery.Addr, peers.List{Seq: 41, Whole: true, Hosts: hosts})
+	class := func(name, effect string, aim, giveUp, late float64) any {
+		return map[string]any{"name": name, "aimMs": aim, "giveUpMs": giveUp, "effect": effect, "group": "all",
+			"keyTtlMs": 5000.0, "credit": 1.0, "lateShare": late, "streamed": false}
+	}
+	peers.Settings(config)["classes"] = []any{class("plan-read", "single_shot", 1200, 12000, 0.3),
+		class("plan-solve", "free", 6000, 75000, 0)}
+	agent := peers.StartAgent(record, peers.TempDir(), config)
 
-	var clients sync.WaitGroup
-	breaks, served := 0, 0
+	// Other requests, a few a second, so that each bid server goes on answering.
 	start := time.Now()
-	for i := 0; time.Since(start) < length; i++ {
+	end := start.Add(length)
+	client := peers.NewClient(record, agent.Addr)
+	var clients sync.WaitGroup
+	go func() {
+		for i := 0; time.Now().Before(end); i++ {
+			go client.Do("plan-read", fmt.Sprint("u", i%40), "", []byte("plan"), 10*time.Second)
+			time.Sleep(25 * time.Millisecond)
+		}
+	}()
+	var flooded atomic.Int64
+	if peers.Trouble() {
+		for range flooders {
+			go flood(agent.Addr, end, &flooded)
+		}
+	}
+
+	// Once a second a request that its bid server hangs on, and later one of a bad client with the same id.
+	answers := map[string]string{}
+	var mu sync.Mutex
+	for i := 0; time.Since(start) < length-copyAt-2*time.Second; i++ {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			result := client.Do("price-read", fmt.Sprint("u", i%400), "", nil, time.Second)
-			if result.Status != 200 {
+			id := peers.NewID()
+			answered := make(chan struct{})
+			go func() {
+				status := send(agent.Addr, id, "hangs", 12*time.Second)
+				record.Line("client %s (hangs) ended with %s", id, status)
+				close(answered)
+			}()
+			select {
+			case <-time.After(copyAt):
+			case <-answered:
 				return
 			}
+			status := send(agent.Addr, id, "copy", 3*time.Second)
+			record.Line("bad client got %s for a request with the open id %s", status, id)
 			mu.Lock()
-			defer mu.Unlock()
-			served++
-			if !strings.HasSuffix(result.Body, " to "+result.ID) {
-				breaks++
-				record.Line("FOREIGN client %s got %q", result.ID, result.Body)
-			}
+			answers[id] = status
+			mu.Unlock()
+			<-answered
 		}()
-		time.Sleep(time.Until(start.Add(time.Duration(i+1) * time.Second / rate)))
+		time.Sleep(time.Second)
 	}
 	clients.Wait()
-	record.Line("%d served, %d second copies", served, copies)
-	if served < int(length.Seconds())*rate/4 {
-		peers.Stop("only %d requests were served", served)
+
+	runs := map[string][]*peers.Run{}
+	for _, server := range fleet {
+		for _, run := range server.Runs() {
+			runs[run.ID] = append(runs[run.ID], run)
+		}
 	}
-	peers.Verdict(record, breaks, "lost (a client was served with what no bid server made for its request)")
+	breaks := 0
+	for id, status := range answers {
+		if len(runs[id]) > 1 {
+			breaks++
+			for _, run := range runs[id] {
+				record.Line("TWICE %s ran at %s, %s, from %.3f", id, run.Server.Name, run.Target, record.At(run.First))
+			}
+			record.Line("TWICE %s: the bad client got %s", id, status)
+		}
+	}
+	record.Line("%d requests of bad clients in %.0f s; %d copies of open ids", flooded.Load(), length.Seconds(), len(answers))
+	if len(answers) == 0 {
+		peers.Stop("no such request was open when its copy was due")
+	}
+	peers.Verdict(record, breaks, "duplicate")
 }
 
-// somethingWaits reports whether bytes of a request have arrived on a connection.
-func somethingWaits(conn net.Conn) bool {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	waits := err != nil
-	if err == nil {
-		raw.Control(func(fd uintptr) {
-			var one [1]byte
-			n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			waits = n > 0 || err == nil
-		})
+// send sends one unsafe request on a new connection and returns the status line of its answer.
+func send(addr, id, key string, timeout time.Duration) string {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err.Error()
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(timeout + time.Second))
+	fmt.Fprintf(conn, "POST /plan-read/%s HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Timeout: %dm\r\nContent-Length: 4\r\n\r\nplan",
+		key, id, timeout.Milliseconds())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "no answer"
+	}
+	return response.Status
+}
+
+// flood sends requests with new ids and very little time left, one after another.
+func flood(addr string, end time.Time, sent *atomic.Int64) {
+	for time.Now().Before(end) {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		reader := bufio.NewReader(conn)
+		for open := true; open && time.Now().Before(end); {
+			fmt.Fprintf(conn, "GET /plan-solve/u HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Timeout: 2500u\r\n\r\n", peers.NewID())
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				break
+			}
+			io.Copy(io.Discard, response.Body)
+			open = !response.Close
+			sent.Add(1)
+		}
+		conn.Close()
 	}
-	return waits
 }
--- a/review/peers/server.go
+++ b/review/peers/server.go
@@ -16,10 +16,14 @@
 type Server struct {
 	Name, Addr string
 	// Work returns the time that a request takes; nil: 40 ms.
-	Work func() time.Duration
+	Work   func() time.Duration
+	WorkOf func(run *Run) time.Duration // the same for each request; nil: Work
 	// Answer writes the answer and reports whether the connection stays open; nil: WriteOK.
 	Answer func(conn net.Conn, run *Run) bool
 
+	// Ignore says which requests are answered but not recorded; nil: none.
+	Ignore func(run *Run) bool
+
 	record *Record
 	mu     sync.Mutex
 	runs   []*Run
@@ -34,6 +38,7 @@
 	Target      string
 	Body        []byte
 	First, Last time.Time // of its bytes
+	Done        time.Time // when its answer was ready
 	Conn        net.Conn
 }
 
@@ -102,15 +107,21 @@
 			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		s.mu.Lock()
-		s.runs = append(s.runs, run)
-		s.mu.Unlock()
-		s.record.Line("server %s ran %s, first byte at %.4f", s.Name, run.ID, s.record.At(run.First))
+		if s.Ignore == nil || !s.Ignore(run) {
+			s.mu.Lock()
+			s.runs = append(s.runs, run)
+			s.mu.Unlock()
+			s.record.Line("server %s ran %s, first byte at %.4f", s.Name, run.ID, s.record.At(run.First))
+		}
 		work := 40 * time.Millisecond
 		if s.Work != nil {
 			work = s.Work()
 		}
+		if s.WorkOf != nil {
+			work = s.WorkOf(run)
+		}
 		time.Sleep(work)
+		run.Done = time.Now()
 		answer := s.Answer
 		if answer == nil {
 			answer = WriteOK
