--- a/review/peers/agent.go
+++ b/review/peers/agent.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -25,8 +26,14 @@
 	start time.Time
 }
 
-// NewRecord creates the file.
+// NewRecord creates the file. From then on a signal to end the case also ends what it started.
 func NewRecord(path string) *Record {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		Exit(2)
+	}()
 	file, err := os.Create(path)
 	if err != nil {
 		Stop("record: %v", err)
@@ -211,6 +218,3 @@
 	text, _ := os.ReadFile(a.path + ".log")
 	return string(text)
 }
-
-// Quiet sends a signal without a line in the record.
-func (a *Agent) Quiet(signal syscall.Signal) { a.cmd.Process.Signal(signal) }
--- a/review/peers/server.go
+++ b/review/peers/server.go
@@ -15,9 +15,10 @@
 // the server, after the time that Work gives.
 type Server struct {
 	Name, Addr string
+	// WorkOf returns the time that a request takes; nil: Work.
+	WorkOf func(run *Run) time.Duration
 	// Work returns the time that a request takes; nil: 40 ms.
-	Work   func() time.Duration
-	WorkOf func(run *Run) time.Duration // the same for each request; nil: Work
+	Work func() time.Duration
 	// Answer writes the answer and reports whether the connection stays open; nil: WriteOK.
 	Answer func(conn net.Conn, run *Run) bool
 
