--- a/review/7/main.go
+++ b/review/7/main.go
@@ -18,9 +18,9 @@
 const (
 	servers  = 12
 	flooders = 100 // connections of the bad clients
-	length   = 36 * time.Second
-	hangs    = 11 * time.Second // for which a bid server hangs in the middle of such a request
-	copyAt   = 10 * time.Second // when a bad client sends a request with its id
+	length   = 42 * time.Second
+	hangs    = 11500 * time.Millisecond // for which a bid server hangs in the middle of such a request
+	copyAt   = 11 * time.Second         // when a bad client sends a request with its id
 )
 
 func main() {
