--- a/review/7/main.go
+++ b/review/7/main.go
@@ -119,7 +119,7 @@
 	if len(answers) == 0 {
 		peers.Stop("no such request was open when its copy was due")
 	}
-	peers.Verdict(record, breaks, "duplicate")
+	peers.Verdict(record, breaks, "duplicate (an unsafe request is out twice)")
 }
 
 // send sends one unsafe request on a new connection and returns the status line of its answer.
