--- a/review/peers/config.go
+++ b/review/peers/config.go
@@ -1,6 +1,10 @@
 package peers
 
-import "fmt"
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
 
 // Host is one entry of the endpoint list.
 type Host struct {
@@ -78,3 +82,8 @@
 	}
 	return hosts
 }
+
+// Between returns a random time between two.
+func Between(least, most time.Duration) time.Duration {
+	return least + time.Duration(rand.Float64()*float64(most-least))
+}
