Discard a response whose length is too short for what came with it

Cause, traced: an answer was complete at the end that its own length gives. Bytes behind it only kept the connection from being reused (Attempt.read, responseReader.buffered); bytes that were still in the socket, behind a long answer, weren't looked at. So a length that is too short was never compared with what the bid server sent. The same held for chunks that end early, for a status of 500, and for 503 with Not-Started, which then proved that the request never ran.

Change: checkSurplus looks for bytes behind an answer, in the reader and in the socket, without waiting for any. One surplus shows that the answer is whole: a whole second copy that says the same. Any other second answer may mean that the first one belongs to an earlier request on the connection, which was served too.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -202,6 +202,12 @@
 	if a.ctx.Err() == nil { // how a cancelled attempt ends doesn't depend on the connection's idle time
 		a.conns.pool.observeReuse(conn, err != nil && conn.readBudget == maxResponseHead)
 	}
-	// Surplus bytes behind the response belong to no request, so the connection is not reused.
-	return result, reusable && err == nil && reader.buffered() == 0, err
+	if err != nil {
+		return result, false, err
+	}
+	surplus, err := checkSurplus(conn, reader, outgoing, &result)
+	if err != nil {
+		return Result{}, false, &ResponseError{err}
+	}
+	return result, reusable && !surplus, nil
 }
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -25,6 +25,7 @@
 	errResponseTooLong = errors.New("longer than the limit")
 	errNotAResponse    = errors.New("not a response to this request")
 	errAmbiguousLength = errors.New("ambiguous length")
+	errSurplus         = errors.New("more bytes than its length")
 )
 
 // Error says why an attempt got no complete response and how much of the request was written. It
--- a/internal/backend/response.go
+++ b/internal/backend/response.go
@@ -26,14 +26,13 @@
 	// A response without a length lasts until the connection ends. It is complete if the connection
 	// ends with an orderly close. A backend that fails or dies resets its connections instead, and
 	// a reset is returned as a read error.
-	chunked := len(response.TransferEncoding) > 0
-	untilEnd := response.ContentLength < 0 && !chunked
+	untilEnd := lastsUntilEnd(response)
 	switch {
 	case response.ContentLength > maxResponseBody:
 		return Result{}, false, &ResponseError{errResponseTooLong}
 	case untilEnd:
 		conn.readBudget += maxResponseBody + 1 // the read after the last byte detects the end
-	case chunked:
+	case isChunked(response):
 		conn.readBudget += maxResponseBody + maxResponseHead // the second is for the chunk framing
 	default:
 		conn.readBudget += int(response.ContentLength)
@@ -45,6 +44,14 @@
 	return resultOf(response, body), !response.Close && !untilEnd, nil
 }
 
+// isChunked reports whether the body of a response is sent in chunks.
+func isChunked(response *http.Response) bool { return len(response.TransferEncoding) > 0 }
+
+// lastsUntilEnd reports whether the body of a response lasts until its connection ends.
+func lastsUntilEnd(response *http.Response) bool {
+	return response.ContentLength < 0 && !isChunked(response)
+}
+
 // readFinalHead reads the head of the response to a request and skips the interim (1xx) responses
 // before it.
 func readFinalHead(reader *responseReader, request *http.Request) (*http.Response, error) {
