Evict clients that stop in the middle of a body, or whose request was rejected

Cause, traced: from the end of the head on a connection counted as active, and no active connection is evicted. The handler waited up to 1 s for the body, so 144 slots turned over 144 times a second, and each client that was turned away came back at once. The usual requests waited in the kernel's queue. The same cause on related paths: behind a rejection (404, 405, /ready with a body) net/http waits up to 1 s for the rest of the body, and the table took the response for unwritten; an unfinished head was kept for 0.5 s, also from a client that sends a byte now and then.

Change: the handler tells the table when it awaits a body (Conn.BeginBody, EndBody). Such a connection is evicted for another one if fewer than 64 bytes came in 0.1 s, or after 0.5 s; the same now holds for heads. Its request is answered with 503 and Retry-After and was never forwarded. Once the server reads on behind a rejection, the response is written, and the connection may be closed. Why this works: no client holds a slot for more than 0.1 s without sending, so that the queue moves at slots per 0.1 s; requests that were read to their end are never evicted.

Lines of tests that are replaced: readRequest has one argument less; unfinishedHeadGrace and evictUnfinishedHead have new names with the same values and the same rows; the row "active" also has a stalled progress and wants the same; the start of the test server moved into a function that a second handler shares. No assertion or bound is dropped.

--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -39,7 +39,7 @@
 	if longest := conf.MaxDeadline(); longest > a.initialMaxDeadline {
 		_ = http.NewResponseController(w).SetWriteDeadline(receivedAt.Add(longest + responseWriteTimeout))
 	}
-	req, err := a.readRequest(conf, w, r, receivedAt)
+	req, err := a.readRequest(conf, r, receivedAt)
 	if err != nil {
 		a.writeRequestError(w, r, err)
 		return
--- a/internal/agent/read_request.go
+++ b/internal/agent/read_request.go
@@ -41,12 +41,17 @@
 
 func (e *requestError) Error() string { return e.reason }
 
+// newUnavailableError returns the reason why a valid request is rejected for now.
+func newUnavailableError(reason string, conf *config.Config) *requestError {
+	return &requestError{status: http.StatusServiceUnavailable, reason: reason, retryAfter: maxRetryAfter(conf)}
+}
+
 // errBodyOfGET is the reason why a GET with a body is rejected.
 var errBodyOfGET = &requestError{status: http.StatusBadRequest, reason: "body: none belongs to GET"}
 
 // readRequest reads and checks a client's request, including the body. Its errors are of type
 // *requestError.
-func (a *Agent) readRequest(conf *config.Config, w http.ResponseWriter, r *http.Request, receivedAt time.Time) (*request, error) {
+func (a *Agent) readRequest(conf *config.Config, r *http.Request, receivedAt time.Time) (*request, error) {
 	if err := checkVersion(r); err != nil {
 		return nil, err
 	}
@@ -76,7 +81,7 @@
 	// The agent uses the shorter of the two.
 	req.Deadline = receivedAt.Add(min(timeout, config.Milliseconds(settings.DeadlineMs)))
 	readRoutingHints(req, path, r.Header)
-	return req, a.readBody(w, r, req)
+	return req, a.readBody(r, req)
 }
 
 // checkVersion rejects a request of an HTTP version below 1.1. Such a request can't be checked for an
@@ -198,7 +203,7 @@
 
 // readBody reads the body, whose length is in the head. It rejects the request if all bodies in
 // memory together would exceed config.Limits.BodyMemory.
-func (a *Agent) readBody(w http.ResponseWriter, r *http.Request, req *request) error {
+func (a *Agent) readBody(r *http.Request, req *request) error {
 	if r.ContentLength == 0 {
 		return nil
 	}
@@ -209,10 +214,9 @@
 		}
 	}()
 	if inMemory > req.config.Limits.BodyMemory() {
-		return &requestError{status: http.StatusServiceUnavailable, reason: "body: no memory left",
-			retryAfter: maxRetryAfter(req.config)}
+		return newUnavailableError("body: no memory left", req.config)
 	}
-	body, err := receiveBody(w, r, req)
+	body, err := receiveBody(r, req)
 	if err != nil {
 		return err
 	}
@@ -223,22 +227,26 @@
 // receiveBody reads the body with a timeout. The timeout is at most bodyTimeout, so that a body
 // that stops arriving doesn't hold its connection forever. It is also at most the time left until
 // the request's deadline, so that a slow body doesn't delay the response past it, but at least
-// minBodyTime.
-func receiveBody(w http.ResponseWriter, r *http.Request, req *request) ([]byte, error) {
-	control := http.NewResponseController(w)
+// minBodyTime. The client connection table may end the wait earlier, for another connection.
+func receiveBody(r *http.Request, req *request) ([]byte, error) {
+	conn := clientConnOf(r)
 	now := time.Now()
 	timeout := min(bodyTimeout, max(req.Deadline.Sub(now), minBodyTime))
-	_ = control.SetReadDeadline(now.Add(timeout))
+	if conn != nil {
+		conn.BeginBody(now.Add(timeout))
+	}
 	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		if timeout < bodyTimeout && errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, &requestError{status: http.StatusServiceUnavailable, reason: "body: came too late",
-				retryAfter: maxRetryAfter(req.config)}
-		}
-		return nil, &requestError{status: http.StatusRequestTimeout, reason: "body: did not come whole"}
+	_, err := io.ReadFull(r.Body, body)
+	evicted := conn != nil && conn.EndBody(err == nil)
+	switch {
+	case err == nil:
+		return body, nil
+	case evicted:
+		return nil, newUnavailableError("body: its connection was needed for another client", req.config)
+	case timeout < bodyTimeout && errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, newUnavailableError("body: came too late", req.config)
 	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+	return nil, &requestError{status: http.StatusRequestTimeout, reason: "body: did not come whole"}
 }
 
 // parseTimeout parses a positive integer that is followed by a unit: m for milliseconds, u for
--- a/internal/agent/read_request_test.go
+++ b/internal/agent/read_request_test.go
@@ -1,12 +1,15 @@
 package agent
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"ploverreel/internal/agenttest"
@@ -63,7 +66,7 @@
 			req.RequestURI, req.URL.Path = path, path
 			req.Body = http.NoBody
 			req.ContentLength = 0
-			got, err := agent.readRequest(agent.config.Load(), httptest.NewRecorder(), req, time.Now())
+			got, err := agent.readRequest(agent.config.Load(), req, time.Now())
 			if err != nil {
 				t.Fatalf("got %v, want no error", err)
 			}
@@ -130,7 +133,7 @@
 			req.RequestURI = "/send/u1"
 			test.change(req)
 			before := agent.bodyBytes.Load()
-			_, err := agent.readRequest(agent.config.Load(), httptest.NewRecorder(), req, time.Now())
+			_, err := agent.readRequest(agent.config.Load(), req, time.Now())
 			var refused *requestError
 			if !errors.As(err, &refused) {
 				t.Fatalf("got %v, want a requestError", err)
@@ -189,3 +192,27 @@
 		}
 	}
 }
+
+// evictedConn is a client's connection that is evicted while its body is awaited.
+type evictedConn struct{ fakeClientConn }
+
+func (evictedConn) EndBody(complete bool) bool { return !complete }
+
+// Guards against a request that is closed without an answer, or with one that forbids a retry, when
+// its connection is evicted before its body is complete.
+func TestRequestWhoseBodyIsEvictedMayBeRetried(t *testing.T) {
+	agent := newAgent(t, agenttest.Config(refusingAddr))
+	req := httptest.NewRequest(http.MethodPost, "/order/u1", iotest.ErrReader(os.ErrDeadlineExceeded))
+	req.ContentLength = 9
+	req.Header.Set("Request-Id", "evicted")
+	req.Header.Set("Request-Timeout", "30000m")
+	w := httptest.NewRecorder()
+	agent.ServeHTTP(w, req.WithContext(context.WithValue(req.Context(), connKey{}, evictedConn{})))
+	checkRejected(t, w.Code, w.Header())
+	if got := w.Header().Get("Connection"); got != "close" {
+		t.Errorf("got Connection %q, want close", got)
+	}
+	if got := agent.bodyBytes.Load(); got != 0 {
+		t.Errorf("got %d bytes of bodies in memory, want 0", got)
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -70,6 +70,8 @@
 // *clientconn.Conn, or a fake in tests.
 type clientConn interface {
 	BeginRequest() (receivedAt time.Time, last bool)
+	BeginBody(deadline time.Time)
+	EndBody(complete bool) (evicted bool)
 	MarkRejected()
 	NetConn() net.Conn
 }
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -28,9 +28,10 @@
 // may close a new or idle connection to free its slot (eviction), to limit the number of idle ones
 // (reaping), or at shutdown. It then sets closing and makes the pending read time out. If bytes of a
 // request arrived before the server notices that, the request is still answered, with
-// "Connection: close".
+// "Connection: close". The table may also end the wait for the rest of a body, on an active
+// connection; see bodyState.
 //
-// table.mu guards the fields from stage to head. The fields after them belong to the goroutine that
+// table.mu guards the fields from stage to body. The fields after them belong to the goroutine that
 // reads. The server never has two reads of one connection in progress.
 type Conn struct {
 	net.Conn
@@ -43,6 +44,8 @@
 	closing         bool      // the table is closing the connection; one more request may arrive
 	responseWritten bool      // the server has written everything that it will write
 	head            headState
+	progress        progress
+	body            bodyState
 
 	// Owned by the reading goroutine.
 	firstSeenAt         time.Time // when unread bytes were first seen during the wait for a slot; zero: never
--- a/internal/clientconn/eviction.go
+++ b/internal/clientconn/eviction.go
@@ -11,12 +11,13 @@
 type evictionClass uint8
 
 const (
-	evictLongIdle       evictionClass = iota // idle for idleGrace or longer
-	evictSilent                              // new, and nothing received for Table.silentGrace or longer
-	evictRejected                            // its request was answered with an error, which is written
-	evictUnfinishedHead                      // its head is still incomplete after unfinishedHeadGrace
-	evictIdle                                // idle for less than idleGrace
-	notEvictable                             // has a request in progress, is too recent, or is closing
+	evictLongIdle   evictionClass = iota // idle for idleGrace or longer
+	evictSilent                          // new, and nothing received for Table.silentGrace or longer
+	evictRejected                        // its request was answered with an error, which is written
+	evictUnfinished                      // its request is still incomplete after unfinishedGrace
+	evictStalled                         // its request is incomplete, and hardly a byte came for stalledGrace
+	evictIdle                            // idle for less than idleGrace
+	notEvictable                         // has a whole request in progress, is too recent, or is closing
 
 	evictionClasses = int(notEvictable)
 )
@@ -24,33 +25,47 @@
 // protectedByUnreadBytes reports whether unread bytes protect a connection of the class from
 // eviction. Such bytes are likely to be a client's request.
 func (class evictionClass) protectedByUnreadBytes() bool {
-	return class != evictRejected && class != evictUnfinishedHead
+	return class != evictRejected && class != evictUnfinished
 }
 
 // evictionClass returns the class of a connection. The caller holds t.mu.
 func (t *Table) evictionClass(c *Conn, now time.Time) evictionClass {
 	age := now.Sub(c.stageSince)
 	switch {
+	case c.stage == stageRejected && c.responseWritten:
+		return evictRejected
+	case c.body == bodyAwaited, !c.closing && c.isReceivingHead():
+		return c.unfinishedClass(age, now)
 	case c.closing:
 		return notEvictable
-	case c.stage == stageIdle && c.head.started:
-		if age >= unfinishedHeadGrace { // the server's own timeout is much longer
-			return evictUnfinishedHead
-		}
 	case c.stage == stageIdle && age >= idleGrace:
 		return evictLongIdle
-	case c.stage == stageNew && c.received.Load() && age >= unfinishedHeadGrace:
-		return evictUnfinishedHead
-	case c.stage == stageNew && !c.received.Load() && age >= t.silentGrace:
+	case c.stage == stageNew && age >= t.silentGrace:
 		return evictSilent
-	case c.stage == stageRejected && c.responseWritten:
-		return evictRejected
 	case c.stage == stageIdle:
 		return evictIdle
 	}
 	return notEvictable
 }
 
+// isReceivingHead reports whether a part of a head was received, but not all. The caller holds
+// table.mu.
+func (c *Conn) isReceivingHead() bool {
+	return c.stage == stageIdle && c.head.started || c.stage == stageNew && c.received.Load()
+}
+
+// unfinishedClass returns the class of a connection on which a part of a request was received. The
+// HTTP server's own timeouts are much longer than the graces. The caller holds table.mu.
+func (c *Conn) unfinishedClass(age time.Duration, now time.Time) evictionClass {
+	switch {
+	case age >= unfinishedGrace:
+		return evictUnfinished
+	case c.progress.stalled(now):
+		return evictStalled
+	}
+	return notEvictable
+}
+
 // evictionCandidate returns the connection to evict for a new one. Among the connections of the
 // lowest class that has any, it is the one that has been in its stage longest. It returns nil if no
 // connection may be evicted. The caller holds t.mu.
@@ -81,7 +96,7 @@
 // to close. The caller holds t.mu.
 func (t *Table) closingCount() (n int) {
 	for c := range t.conns {
-		if c.closesWithoutRequest() {
+		if c.closesWithoutRequest() || c.body == bodyEvicted && !c.responseWritten {
 			n++
 		}
 	}
@@ -102,6 +117,18 @@
 	_ = c.Conn.SetReadDeadline(now)
 }
 
+// evict makes the server close a connection whose slot is needed. The caller holds t.mu.
+func (t *Table) evict(c *Conn) {
+	switch {
+	case c.stage == stageRejected:
+		t.closeRejected(c)
+	case c.body == bodyAwaited:
+		c.expireBody()
+	default:
+		c.expireRead()
+	}
+}
+
 // closeRejected closes a connection whose request was answered with an error. No byte that is read
 // from it is used any more. The caller holds t.mu.
 func (t *Table) closeRejected(c *Conn) {
--- a/internal/clientconn/eviction_test.go
+++ b/internal/clientconn/eviction_test.go
@@ -10,6 +10,7 @@
 // what was read from the connection.
 func TestEvictionClassFollowsStageAndAge(t *testing.T) {
 	now := time.Now()
+	stalled := now.Add(-stalledGrace)
 	for _, test := range []struct {
 		name     string
 		conn     *Conn
@@ -19,13 +20,22 @@
 	}{
 		{"new and silent for long", &Conn{stage: stageNew}, defaultSilentGrace, false, evictSilent},
 		{"new and silent", &Conn{stage: stageNew}, defaultSilentGrace - 1, false, notEvictable},
-		{"new with a head in progress", &Conn{stage: stageNew}, unfinishedHeadGrace - 1, true, notEvictable},
-		{"new with an unfinished head", &Conn{stage: stageNew}, unfinishedHeadGrace, true, evictUnfinishedHead},
+		{"new with a head in progress", &Conn{stage: stageNew}, unfinishedGrace - 1, true, notEvictable},
+		{"new with an unfinished head", &Conn{stage: stageNew}, unfinishedGrace, true, evictUnfinished},
 		{"idle", &Conn{stage: stageIdle}, idleGrace - 1, true, evictIdle},
 		{"idle for long", &Conn{stage: stageIdle}, idleGrace, true, evictLongIdle},
-		{"idle with a head in progress", &Conn{stage: stageIdle, head: headState{started: true}}, unfinishedHeadGrace - 1, true, notEvictable},
-		{"idle with an unfinished head", &Conn{stage: stageIdle, head: headState{started: true}}, idleGrace, true, evictUnfinishedHead},
-		{"active", &Conn{stage: stageActive}, time.Hour, true, notEvictable},
+		{"idle with a head in progress", &Conn{stage: stageIdle, head: headState{started: true}}, unfinishedGrace - 1, true, notEvictable},
+		{"idle with an unfinished head", &Conn{stage: stageIdle, head: headState{started: true}}, idleGrace, true, evictUnfinished},
+		{"new with a stalled head", &Conn{stage: stageNew, progress: progress{since: stalled}}, stalledGrace, true, evictStalled},
+		{"new with a head that goes on", &Conn{stage: stageNew, progress: progress{since: stalled.Add(1)}}, stalledGrace, true, notEvictable},
+		{"idle with a stalled head", &Conn{stage: stageIdle, head: headState{started: true}, progress: progress{since: stalled}}, stalledGrace, true, evictStalled},
+		{"active", &Conn{stage: stageActive, progress: progress{since: stalled}}, time.Hour, true, notEvictable},
+		{"active with a body in progress", &Conn{stage: stageActive, body: bodyAwaited}, unfinishedGrace - 1, true, notEvictable},
+		{"active with a stalled body", &Conn{stage: stageActive, body: bodyAwaited, progress: progress{since: stalled}}, stalledGrace, true, evictStalled},
+		{"active with an unfinished body", &Conn{stage: stageActive, body: bodyAwaited}, unfinishedGrace, true, evictUnfinished},
+		{"active with an unfinished body, closing", &Conn{stage: stageActive, body: bodyAwaited, closing: true}, unfinishedGrace, true, evictUnfinished},
+		{"active with an evicted body", &Conn{stage: stageActive, body: bodyEvicted}, time.Hour, true, notEvictable},
+		{"rejected, closing, response written", &Conn{stage: stageRejected, closing: true, responseWritten: true}, 0, true, evictRejected},
 		{"rejected, response written", &Conn{stage: stageRejected, responseWritten: true}, 0, true, evictRejected},
 		{"rejected, response in progress", &Conn{stage: stageRejected}, time.Hour, true, notEvictable},
 		{"closing", &Conn{stage: stageIdle, closing: true}, time.Hour, true, notEvictable},
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -58,6 +58,9 @@
 func (c *Conn) beginRead(size int) (isHead bool, refusal *headRefusal) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
+	if c.stage == stageRejected && size > 1 {
+		c.responseWritten = true // except in the background, the server reads on only behind its response
+	}
 	if !c.awaitsHead() {
 		return false, nil
 	}
@@ -77,6 +80,7 @@
 	if c.stage == stageIdle {
 		c.stageSince = now
 	}
+	c.progress.start(now)
 	c.head.start(c.stageSince, now)
 	_ = c.Conn.SetReadDeadline(c.head.deadline)
 }
@@ -105,6 +109,7 @@
 func (c *Conn) recordRead(read []byte, background bool, receivedAt time.Time) (active bool, refusal *headRefusal) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
+	c.progress.add(len(read), time.Now())
 	switch {
 	case c.stage == stageActive:
 		c.head.started = c.head.started || background
--- a/internal/clientconn/server_test.go
+++ b/internal/clientconn/server_test.go
@@ -33,19 +33,34 @@
 
 // serveOn does the same as serve, with the listener that wrap returns for a plain one.
 func serveOn(t *testing.T, table *Table, wrap func(net.Listener) net.Listener) *testServer {
+	t.Helper()
+	s := &testServer{table: table, received: make(chan string, 100), ended: make(chan error, 1)}
+	s.start(t, s, wrap)
+	return s
+}
+
+// serveWith does the same as serve, with another handler.
+func serveWith(t *testing.T, table *Table, handler http.Handler) *testServer {
+	t.Helper()
+	s := &testServer{table: table, ended: make(chan error, 1)}
+	s.start(t, handler, func(ln net.Listener) net.Listener { return ln })
+	return s
+}
+
+// start starts the HTTP server.
+func (s *testServer) start(t *testing.T, handler http.Handler, wrap func(net.Listener) net.Listener) {
 	t.Helper()
 	ln := listen(t)
-	s := &testServer{table: table, addr: ln.Addr().String(), received: make(chan string, 100), ended: make(chan error, 1)}
+	s.addr = ln.Addr().String()
 	server := &http.Server{
-		Handler: s, ReadHeaderTimeout: HeadTimeout, ConnState: table.OnConnState,
+		Handler: handler, ReadHeaderTimeout: HeadTimeout, ConnState: s.table.OnConnState,
 		IdleTimeout: agenttest.LongTimeout, // the table alone ends idle connections
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
 		},
 	}
 	t.Cleanup(func() { server.Close() })
-	go func() { s.ended <- server.Serve(NewListener(wrap(ln), table, slog.New(slog.DiscardHandler))) }()
-	return s
+	go func() { s.ended <- server.Serve(NewListener(wrap(ln), s.table, slog.New(slog.DiscardHandler))) }()
 }
 
 func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/clientconn/table.go
+++ b/internal/clientconn/table.go
@@ -8,7 +8,7 @@
 
 // Table is the client connection table. It has maxConns slots, each for one client connection. It
 // decides which connections are closed to free a slot, to limit the number that are kept alive, and
-// at shutdown. mu guards the fields of the table, and the fields from stage to head of each Conn.
+// at shutdown. mu guards the fields of the table, and the fields from stage to body of each Conn.
 type Table struct {
 	mu           sync.Mutex
 	maxConns     int // number of slots
@@ -82,11 +82,7 @@
 		if victim == nil {
 			break
 		}
-		if victim.stage == stageRejected {
-			t.closeRejected(victim)
-		} else {
-			victim.expireRead()
-		}
+		t.evict(victim)
 	}
 	if len(t.conns) >= t.maxConns {
 		return false
--- a/internal/clientconn/table_test.go
+++ b/internal/clientconn/table_test.go
@@ -81,7 +81,7 @@
 		_, err := unfinished.Read(make([]byte, 4096))
 		ended <- err
 	}()
-	later := now.Add(unfinishedHeadGrace)
+	later := now.Add(unfinishedGrace)
 	if got := table.acquire(next, later); got || table.Count() != 3 {
 		t.Fatalf("got a slot %v and %d connections, want none before the evicted one is closed", got, table.Count())
 	}
--- a/internal/clientconn/timeouts.go
+++ b/internal/clientconn/timeouts.go
@@ -19,9 +19,12 @@
 	// idleGrace is how long a connection must be idle before it may be reaped because too many are
 	// kept alive, and before it belongs to the class that is evicted first.
 	idleGrace = 2 * time.Second
-	// unfinishedHeadGrace is how long a head may be incomplete before its connection may be
-	// evicted.
-	unfinishedHeadGrace = 500 * time.Millisecond
+	// unfinishedGrace is how long a head, or the body behind it, may be incomplete before its
+	// connection may be evicted.
+	unfinishedGrace = 500 * time.Millisecond
+	// stalledGrace is how long a client that has sent a part of a request may send fewer than
+	// minProgress bytes before its connection may be evicted.
+	stalledGrace = 100 * time.Millisecond
 	// defaultSilentGrace is how long a new connection may send nothing before it may be evicted.
 	defaultSilentGrace = 30 * time.Millisecond
 	// defaultAcquireTimeout is how long a new connection waits for a slot before it is closed.
