Limit the rate of answers without a backend, and pause before pipelined requests

While 300 connections sent an unknown class and came back at once, 147 of 160 were refused; with half a body behind it 235 of 240, and with half a body behind /ready 221, and 18 had no answer.

Cause, traced: with one core there is one running thread. The server's goroutine never blocked, as the next request was there already, and the Go runtime looks for arrived bytes of other connections only every 10 ms while its threads are busy: each step of another request took that long. With two cores and the same load all 160 were served, which rules out the table's mutex and the loop. The 300 connections used the whole core with 5,000 connects a second. An answer of net/http itself (a malformed or long head) counted as a request in progress, whose slot can't be freed.

Change: before a request that came ahead of the response to the one before, the server sleeps 1 ms, which lets the runtime look. Answers that cost no backend anything (invalid requests, /ready, no time left) have a rate: 1,000 a second for each core, 200 at least, 50 at once; above it each is delayed by 0.25 s at most, and at once given if its slot is needed. Those of net/http are marked as rejections (Conn.Write). Why this works: no connection keeps the thread, and such clients get a share of the processor that doesn't depend on their number; requests that are forwarded are not delayed.

Not mended: 20 connections with requests of 4 ms that are forwarded and time out let 71 of 160 others be refused, in time; docs/OPEN.md.

Lines of tests that are replaced: body states have new names in the same rows of the eviction test, with the same ages and the same classes wanted.

--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -49,6 +49,7 @@
 		req.client.conn = conn.NetConn()
 	}
 	if !a.canRespondInTime(req) {
+		a.delayAnswer(w, r)
 		a.writeNotStarted(w, conf)
 		return
 	}
--- a/internal/agent/head_time_test.go
+++ b/internal/agent/head_time_test.go
@@ -18,6 +18,7 @@
 func (c fakeClientConn) BeginRequest() (time.Time, bool) { return c.receivedAt, false }
 func (fakeClientConn) BeginBody(time.Time)               {}
 func (fakeClientConn) EndBody(bool) bool                 { return false }
+func (fakeClientConn) DelayAnswer(<-chan struct{}) bool  { return false }
 func (fakeClientConn) MarkRejected()                     {}
 func (fakeClientConn) NetConn() net.Conn                 { return nil }
 
--- a/internal/agent/ready.go
+++ b/internal/agent/ready.go
@@ -56,6 +56,7 @@
 		a.writeRequestError(w, r, err)
 		return
 	}
+	a.delayAnswer(w, r)
 	if checkVersion(r) != nil || !a.clients.MayKeepAlive() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/agent/response.go
+++ b/internal/agent/response.go
@@ -34,6 +34,7 @@
 	if conn := clientConnOf(r); conn != nil {
 		conn.MarkRejected()
 	}
+	a.delayAnswer(w, r)
 	// The server reads the rest of the body before it closes the connection.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	w.Header().Set("Connection", "close")
@@ -41,6 +42,19 @@
 	a.write(w, invalid.status, "text/plain", []byte(invalid.reason+"\n"))
 }
 
+// delayAnswer delays an answer that is given without a backend, if the agent has given many of them.
+// During a graceful shutdown no answer is delayed.
+func (a *Agent) delayAnswer(w http.ResponseWriter, r *http.Request) {
+	conn := clientConnOf(r)
+	if conn == nil || a.shutdownAt.Load() != nil {
+		return
+	}
+	if evicted := conn.DelayAnswer(r.Context().Done()); evicted {
+		conn.MarkRejected()
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // writeLoopResponse writes the loop's response to a request.
 func (a *Agent) writeLoopResponse(w http.ResponseWriter, r *http.Request, response response) {
 	if response.status == statusDuplicateID {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -56,7 +56,7 @@
 		clients:       clientconn.NewTable(conf.Limits.ClientSockets(), conf.Limits.KeepAliveSockets()),
 		drainDeadline: make(chan struct{}), afterFunc: time.AfterFunc,
 	}
-	a.clients.SetHeadMemoryLimit(conf.Limits.HeadMemory(), maxRetryAfter(conf))
+	a.applyClientLimits(conf)
 	a.config.Store(conf)
 	a.maxDeadline.Store(int64(a.initialMaxDeadline))
 	a.server = a.newServer()
@@ -72,6 +72,7 @@
 	BeginRequest() (receivedAt time.Time, last bool)
 	BeginBody(deadline time.Time)
 	EndBody(complete bool) (evicted bool)
+	DelayAnswer(canceled <-chan struct{}) (evicted bool)
 	MarkRejected()
 	NetConn() net.Conn
 }
@@ -124,13 +125,19 @@
 	}
 	a.maxDeadline.Store(max(a.maxDeadline.Load(), int64(next.MaxDeadline())))
 	a.clients.Resize(next.Limits.ClientSockets(), next.Limits.KeepAliveSockets())
-	a.clients.SetHeadMemoryLimit(next.Limits.HeadMemory(), maxRetryAfter(next))
+	a.applyClientLimits(next)
 	// From here on new requests use the classes of next. The loop must know these classes before, so
 	// this is the last step.
 	a.config.Store(next)
 	return nil
 }
 
+// applyClientLimits applies the limits of memory and of processor time for clients.
+func (a *Agent) applyClientLimits(conf *config.Config) {
+	a.clients.SetHeadMemoryLimit(conf.Limits.HeadMemory(), maxRetryAfter(conf))
+	a.clients.SetAnswerRate(conf.Limits.AnswerRate())
+}
+
 // checkReload returns an error if a configuration changes a field that can't change without a
 // restart. It checks only the fields that need no data of the loop.
 func checkReload(current, next *config.Config) error {
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -29,9 +29,9 @@
 // (reaping), or at shutdown. It then sets closing and makes the pending read time out. If bytes of a
 // request arrived before the server notices that, the request is still answered, with
 // "Connection: close". The table may also end the wait for the rest of a body, on an active
-// connection; see bodyState.
+// connection; see requestWait.
 //
-// table.mu guards the fields from stage to body. The fields after them belong to the goroutine that
+// table.mu guards the fields from stage to wait. The fields after them belong to the goroutine that
 // reads. The server never has two reads of one connection in progress.
 type Conn struct {
 	net.Conn
@@ -43,9 +43,11 @@
 	stageSince      time.Time // when the stage began; in stageIdle, when the next head began, if it has
 	closing         bool      // the table is closing the connection; one more request may arrive
 	responseWritten bool      // the server has written everything that it will write
+	handled         bool      // a handler has begun to handle the request in progress
 	head            headState
 	progress        progress
-	body            bodyState
+	delayEnded      chan struct{} // closed when the table ends the delay of the answer; nil: none is delayed
+	wait            requestWait
 
 	// Owned by the reading goroutine.
 	firstSeenAt         time.Time // when unread bytes were first seen during the wait for a slot; zero: never
--- a/internal/clientconn/eviction.go
+++ b/internal/clientconn/eviction.go
@@ -34,7 +34,7 @@
 	switch {
 	case c.stage == stageRejected && c.responseWritten:
 		return evictRejected
-	case c.body == bodyAwaited, !c.closing && c.isReceivingHead():
+	case c.mayEndWait(), !c.closing && c.isReceivingHead():
 		return c.unfinishedClass(age, now)
 	case c.closing:
 		return notEvictable
@@ -96,7 +96,7 @@
 // to close. The caller holds t.mu.
 func (t *Table) closingCount() (n int) {
 	for c := range t.conns {
-		if c.closesWithoutRequest() || c.body == bodyEvicted && !c.responseWritten {
+		if c.closesWithoutRequest() || c.wait == waitEvicted && !c.responseWritten {
 			n++
 		}
 	}
@@ -120,10 +120,10 @@
 // evict makes the server close a connection whose slot is needed. The caller holds t.mu.
 func (t *Table) evict(c *Conn) {
 	switch {
-	case c.stage == stageRejected:
+	case c.stage == stageRejected && c.responseWritten:
 		t.closeRejected(c)
-	case c.body == bodyAwaited:
-		c.expireBody()
+	case c.mayEndWait():
+		c.endWait()
 	default:
 		c.expireRead()
 	}
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -15,6 +15,7 @@
 	peekedAfterTimeout bool      // a read of this head timed out but was repeated, as bytes were unread
 	serverWaited       bool      // on an idle connection, the server has set the deadline for the wait for the next head
 	inServerBuffer     bool      // the server read the beginning of this head together with an earlier request
+	arrivedEarly       bool      // the beginning of this head had arrived before the server read on behind an earlier request
 	scan               headScan  // of the head in progress, or of that of the request in progress
 	unscanned          unscannedText
 	reserved           int64 // bytes of Table.headMemory that this head uses
@@ -36,7 +37,7 @@
 func (h *headState) awaitNext(since time.Time) {
 	h.peekedAfterTimeout = false
 	h.deadline = since.Add(HeadTimeout)
-	h.serverWaited, h.inServerBuffer, h.scan = false, false, headScan{}
+	h.serverWaited, h.inServerBuffer, h.arrivedEarly, h.scan = false, false, false, headScan{}
 }
 
 // recordScan scans bytes of the head in progress. Bytes behind its end may belong to the next one.
@@ -64,6 +65,9 @@
 	if !c.awaitsHead() {
 		return false, nil
 	}
+	if c.stage == stageIdle && !c.head.started {
+		c.head.arrivedEarly = len(c.readAhead) > 0 || socket.Peek(c.Conn) == socket.PeekUnread
+	}
 	c.head.bufferSize = max(c.head.bufferSize, size)
 	if size < c.head.bufferSize && !c.head.started {
 		c.startHead(time.Now())
@@ -158,7 +162,7 @@
 func (c *Conn) detectBufferedHead() {
 	if c.head.serverWaited && !c.head.started && !c.head.inServerBuffer {
 		c.startHead(time.Now())
-		c.head.inServerBuffer = true
+		c.head.inServerBuffer, c.head.arrivedEarly = true, true
 		c.head.unscanned.limit(c.head.bufferSize)
 	}
 	c.head.serverWaited = true
--- a/internal/clientconn/request_wait_test.go
+++ b/internal/clientconn/request_wait_test.go
@@ -65,7 +65,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for conn := range t.conns {
-		if conn.body == bodyAwaited {
+		if conn.wait == awaitsBody {
 			n++
 		}
 	}
--- a/internal/clientconn/stage.go
+++ b/internal/clientconn/stage.go
@@ -32,14 +32,45 @@
 
 // BeginRequest records that a handler has started to handle a request of the connection. It returns
 // the time at which the last byte of the request's head was read, and whether the request is the
-// last one because the table is closing the connection.
+// last one because the table is closing the connection. It waits for pipelinedRequestDelay if the
+// client sent the request before the response to the one before.
 func (c *Conn) BeginRequest() (receivedAt time.Time, last bool) {
 	c.setStage(stageActive)
+	if pipelined := c.beginHandling(); pipelined {
+		c.table.sleep(pipelinedRequestDelay)
+	}
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	return c.head.receivedAt, c.closing
 }
 
+// beginHandling records that a handler handles the request, and reports whether the client sent the
+// request before the response to the one before.
+func (c *Conn) beginHandling() (pipelined bool) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.handled = true
+	return c.head.arrivedEarly
+}
+
+// Write is called by the server. If no handler handles a request, it is the server's own answer to
+// an invalid head, after which the server closes the connection.
+func (c *Conn) Write(text []byte) (int, error) {
+	if c.rejectedByServer() {
+		c.MarkRejected()
+		c.DelayAnswer(nil)
+		defer c.markResponseWritten()
+	}
+	return c.Conn.Write(text)
+}
+
+// rejectedByServer reports whether the server writes an answer of its own.
+func (c *Conn) rejectedByServer() bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return !c.handled && c.stage != stageRejected
+}
+
 // MarkRejected records that the connection's request is answered with an error and that the
 // connection closes with the response. The connection may be evicted once the response is written.
 func (c *Conn) MarkRejected() { c.setStage(stageRejected) }
@@ -55,6 +86,7 @@
 	case stageActive:
 		c.head.started = false // the head is complete
 	case stageIdle:
+		c.handled = false
 		c.table.headMemory.release(&c.head)
 		c.head.awaitNext(c.stageSince)
 	}
--- a/internal/clientconn/table.go
+++ b/internal/clientconn/table.go
@@ -8,7 +8,7 @@
 
 // Table is the client connection table. It has maxConns slots, each for one client connection. It
 // decides which connections are closed to free a slot, to limit the number that are kept alive, and
-// at shutdown. mu guards the fields of the table, and the fields from stage to body of each Conn.
+// at shutdown. mu guards the fields of the table, and the fields from stage to wait of each Conn.
 type Table struct {
 	mu           sync.Mutex
 	maxConns     int // number of slots
@@ -16,6 +16,9 @@
 	conns        map[*Conn]struct{}
 	waiting      int // number of accepted connections that wait for a slot
 	headMemory   headMemoryLimit
+	answers      answerPace
+
+	sleep func(time.Duration) // time.Sleep; replaced by tests
 
 	// freed has an item after a slot has become free. A buffer of one item is enough: however many
 	// slots have become free, a waiter that receives the item checks the whole table again.
@@ -30,8 +33,8 @@
 // idle or active, no connection is kept alive after its response.
 func NewTable(maxConns, maxKeepAlive int) *Table {
 	return &Table{maxConns: maxConns, maxKeepAlive: maxKeepAlive, conns: map[*Conn]struct{}{},
-		headMemory: headMemoryLimit{max: math.MaxInt64},
-		freed:      make(chan struct{}, 1), silentGrace: defaultSilentGrace, acquireTimeout: defaultAcquireTimeout}
+		headMemory: headMemoryLimit{max: math.MaxInt64}, sleep: time.Sleep,
+		freed: make(chan struct{}, 1), silentGrace: defaultSilentGrace, acquireTimeout: defaultAcquireTimeout}
 }
 
 // Resize changes the limits. Connections above a lowered limit are closed when new ones arrive.
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -24,6 +24,12 @@
 	headMemoryDivisor = 8 // the larger heads of all requests together
 )
 
+// Limits of the answers that the agent gives without a backend, per second.
+const (
+	answersPerCore = 1000
+	minAnswerRate  = 200
+)
+
 // Limits holds the resources that the process may use. Its methods divide the file descriptors
 // between their uses.
 type Limits struct {
@@ -55,6 +61,10 @@
 // BodyMemory returns the largest number of bytes of all request bodies in memory together.
 func (l Limits) BodyMemory() int64 { return int64(l.MemoryMB * (1 << 20) / bodyMemoryDivisor) }
 
+// AnswerRate returns how many answers a second the agent gives without a backend before it delays
+// them: to invalid requests, to health checks, and to requests without time left.
+func (l Limits) AnswerRate() float64 { return max(l.Cores*answersPerCore, minAnswerRate) }
+
 // HeadMemory returns how many bytes of memory all request heads may use together that are larger
 // than usual.
 func (l Limits) HeadMemory() int64 { return int64(l.MemoryMB * (1 << 20) / headMemoryDivisor) }
