Watch for the client's close behind the bytes that it sent ahead

Cause, traced: net/http reads in the background while a handler runs, and stops at the first byte of a next request. It doesn't read again while it holds that byte, that is, during all requests that it read together. The check before an attempt's first byte asks the kernel, which knows of the close only when all bytes before it fit in the receive buffer.

Change: during a request for which net/http doesn't read, the handler watches itself (Conn.WatchDisconnect). Bytes above the read-ahead are discarded in larger reads, with a pause of 1 ms after 256 KB of one connection and the same rate over all connections, so that a close behind 10 MB is seen within 0.1 s and a flood doesn't keep the thread. Conn.reading keeps the two readers apart.

Lines of tests that are replaced: the first half of TestAgentForwardsNothingForDisconnectBehindPipelinedRequests moved, line by line, into startSecondOfPipelinedRequests, which the new test shares; its checks are the same. The files of the rate limit and its test have new names, with the same assertions.

--- a/internal/agent/disconnect_unread_test.go
+++ b/internal/agent/disconnect_unread_test.go
@@ -87,34 +87,41 @@
 	}
 }
 
-// Two requests arrive together, and one byte of a third arrives while the first is handled. During
-// the second request the HTTP server then doesn't watch for the client's close. Still nothing is
-// forwarded after it.
+// startSecondOfPipelinedRequests sends two requests together, and one byte of a third while the
+// first is handled. It returns when the second is about to be forwarded. During that request the HTTP
+// server doesn't watch for the client's close. proceed lets the second request be forwarded.
+func startSecondOfPipelinedRequests(t *testing.T) (agent *Agent, clients *trackingListener, conn net.Conn, proceed chan struct{}, received chan string) {
+	t.Helper()
+	received, release := make(chan string, 10), make(chan struct{})
+	addr := agenttest.RawBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+		if req, err := agenttest.ReadRequest(reader); err == nil {
+			received <- req.Header.Get("Request-Id")
+			<-release
+			io.WriteString(conn, strings.Replace(agenttest.OKResponse, "\r\n", "\r\nConnection: close\r\n", 1))
+		}
+	})
+	agent, base, clients := startTracked(t, agenttest.Config(refusingAddr, addr))
+	began, proceed := delayConnects(agent)
+	conn = agenttest.Dial(t, base)
+	both := agenttest.RequestText("order", "p1") + agenttest.RequestText("order", "p2")
+	io.WriteString(conn, both)
+	<-began
+	proceed <- struct{}{}
+	if id := <-received; id != "p1" {
+		t.Fatalf("got request %q first, want p1", id)
+	}
+	io.WriteString(conn, "P") // the first byte of a third request
+	awaitRead(t, clients, len(both)+1)
+	close(release)
+	<-began // the connect of the second request
+	return agent, clients, conn, proceed, received
+}
+
+// Nothing is forwarded for a client that disconnects behind pipelined requests.
 func TestAgentForwardsNothingForDisconnectBehindPipelinedRequests(t *testing.T) {
 	for how, disconnect := range agenttest.Disconnects {
 		t.Run(how, func(t *testing.T) {
-			received, release := make(chan string, 10), make(chan struct{})
-			addr := agenttest.RawBackend(t, func(conn net.Conn, reader *bufio.Reader) {
-				if req, err := agenttest.ReadRequest(reader); err == nil {
-					received <- req.Header.Get("Request-Id")
-					<-release
-					io.WriteString(conn, strings.Replace(agenttest.OKResponse, "\r\n", "\r\nConnection: close\r\n", 1))
-				}
-			})
-			agent, base, clients := startTracked(t, agenttest.Config(refusingAddr, addr))
-			began, proceed := delayConnects(agent)
-			conn := agenttest.Dial(t, base)
-			both := agenttest.RequestText("order", "p1") + agenttest.RequestText("order", "p2")
-			io.WriteString(conn, both)
-			<-began
-			proceed <- struct{}{}
-			if id := <-received; id != "p1" {
-				t.Fatalf("got request %q first, want p1", id)
-			}
-			io.WriteString(conn, "P") // the first byte of a third request
-			awaitRead(t, clients, len(both)+1)
-			close(release)
-			<-began // the connect of the second request
+			agent, clients, conn, proceed, received := startSecondOfPipelinedRequests(t)
 			disconnect(conn)
 			awaitClientClose(t, clients)
 			close(proceed)
@@ -123,6 +130,20 @@
 	}
 }
 
+// Guards against requests that are forwarded for a client that has closed its connection behind more
+// bytes than fit in the agent's receive buffer: the close arrives only when they are read.
+func TestAgentForwardsNothingForCloseBehindManyUnreadBytes(t *testing.T) {
+	agent, clients, conn, proceed, received := startSecondOfPipelinedRequests(t)
+	go func() {
+		defer conn.Close()
+		io.WriteString(conn, strings.Repeat("x", 16<<20))
+	}()
+	awaitClientClose(t, clients)
+	agenttest.Eventually(t, "the disconnect handled", func() bool { return !agent.hasOpenRequest("p2") })
+	close(proceed)
+	checkNothingForwarded(t, agent, received)
+}
+
 // Nothing is forwarded for a client that disconnects in the head, in the body or right after its
 // request. Here all of this happens before the connection is accepted.
 func TestAgentForwardsNothingForDisconnectBeforeAccept(t *testing.T) {
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -45,15 +45,19 @@
 		return
 	}
 	defer a.bodyBytes.Add(-int64(len(req.Body)))
+	var gone <-chan struct{} // nil if the context alone tells that the client has disconnected
 	if conn != nil {
 		req.client.conn = conn.NetConn()
+		var stop func()
+		gone, stop = conn.WatchDisconnect()
+		defer stop()
 	}
 	if !a.canRespondInTime(req) {
 		a.delayAnswer(w, r)
 		a.writeNotStarted(w, conf)
 		return
 	}
-	a.awaitResponse(w, r, req)
+	a.awaitResponse(w, r, req, gone)
 }
 
 // beginRequest marks a client's connection as having a request in progress, and returns the time at
@@ -106,7 +110,7 @@
 // when the client disconnects, and shortly before the request's deadline or the end of a graceful
 // shutdown. The loop may not have responded by then, because it is busy, its queue is full or the
 // decision was lost in a panic.
-func (a *Agent) awaitResponse(w http.ResponseWriter, r *http.Request, req *request) {
+func (a *Agent) awaitResponse(w http.ResponseWriter, r *http.Request, req *request, gone <-chan struct{}) {
 	fallbackTimer := time.NewTimer(time.Until(req.Deadline) - fallbackMargin)
 	defer fallbackTimer.Stop()
 	queue := a.loop.inputs // nil after the request is posted, so that it isn't posted twice
@@ -118,10 +122,10 @@
 			a.writeLoopResponse(w, r, response)
 			return
 		case <-r.Context().Done():
-			if queue == nil {
-				a.abandon(req)
-			}
-			a.writeClientGone(w)
+			a.onClientGone(w, req, queue == nil)
+			return
+		case <-gone:
+			a.onClientGone(w, req, queue == nil)
 			return
 		case <-fallbackTimer.C:
 			a.respondWithoutLoop(w, req, queue == nil)
@@ -133,6 +137,14 @@
 	}
 }
 
+// onClientGone ends a request whose client has disconnected.
+func (a *Agent) onClientGone(w http.ResponseWriter, req *request, posted bool) {
+	if posted {
+		a.abandon(req)
+	}
+	a.writeClientGone(w)
+}
+
 // respondWithoutLoop responds to a request for which the loop has sent no response in time. If the
 // request was not posted, it never ran and the client may retry it.
 func (a *Agent) respondWithoutLoop(w http.ResponseWriter, req *request, posted bool) {
--- a/internal/agent/head_time_test.go
+++ b/internal/agent/head_time_test.go
@@ -20,7 +20,10 @@
 func (fakeClientConn) EndBody(bool) bool                 { return false }
 func (fakeClientConn) DelayAnswer(<-chan struct{}) bool  { return false }
 func (fakeClientConn) MarkRejected()                     {}
-func (fakeClientConn) NetConn() net.Conn                 { return nil }
+func (fakeClientConn) WatchDisconnect() (<-chan struct{}, func()) {
+	return nil, func() {}
+}
+func (fakeClientConn) NetConn() net.Conn { return nil }
 
 // The timeout that a backend receives counts from when the request's head was read. It includes the
 // time until the handler ran.
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -74,6 +74,7 @@
 	EndBody(complete bool) (evicted bool)
 	DelayAnswer(canceled <-chan struct{}) (evicted bool)
 	MarkRejected()
+	WatchDisconnect() (gone <-chan struct{}, stop func())
 	NetConn() net.Conn
 }
 
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -5,14 +5,11 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// maxReadAhead limits how many bytes are buffered that a client sends while its request is in
-// progress. If there are more, the connection ends after the buffered ones.
-const maxReadAhead = 4 << 10
-
 // Conn is a client connection. It is in the client connection table from acquire to Close. Its life
 // cycle is:
 //
@@ -38,6 +35,10 @@
 	table    *Table
 	received atomic.Bool // at least one byte has been read
 
+	// serverHoldsByte is set when a background read has returned a byte, until the server reads on. In
+	// that time the server makes no background reads.
+	serverHoldsByte atomic.Bool
+
 	// Guarded by table.mu.
 	stage           connStage
 	stageSince      time.Time // when the stage began; in stageIdle, when the next head began, if it has
@@ -49,7 +50,9 @@
 	delayEnded      chan struct{} // closed when the table ends the delay of the answer; nil: none is delayed
 	wait            requestWait
 
-	// Owned by the reading goroutine.
+	// Guarded by reading, which is held during each read of the server, and while the handler watches
+	// for the client's disconnect.
+	reading             sync.Mutex
 	firstSeenAt         time.Time // when unread bytes were first seen during the wait for a slot; zero: never
 	readAhead           []byte    // read while a request was in progress, not yet passed to the server
 	readAheadAt         time.Time // when the first byte of readAhead was read
@@ -66,6 +69,8 @@
 // disconnected. If the head of a request is refused, Read responds to the client and returns io.EOF,
 // on which the server closes the connection without a response of its own.
 func (c *Conn) Read(buffer []byte) (n int, err error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
 	if c.refused {
 		return 0, io.EOF
 	}
@@ -79,6 +84,7 @@
 	}
 	c.received.Store(true)
 	background := len(buffer) == 1
+	c.serverHoldsByte.Store(background)
 	active, refusal := c.recordRead(buffer[:n], background, receivedAt)
 	if refusal != nil {
 		c.discardHead(buffer)
@@ -128,33 +134,6 @@
 	return n, err
 }
 
-// watchForDisconnect keeps reading while a request is in progress, until the client disconnects or
-// the response is written. The server itself stops watching at the first byte that arrives. If a
-// client sent more and then disconnected, the server would not detect that, and the client's
-// request would be forwarded.
-func (c *Conn) watchForDisconnect() error {
-	chunk := make([]byte, maxReadAhead)
-	for {
-		n, err := c.Conn.Read(chunk)
-		if room := maxReadAhead - len(c.readAhead); n > room {
-			// Clients don't pipeline requests, so no client waits for a response to the dropped
-			// bytes.
-			c.readAheadOverflowed = true
-			n = room
-		}
-		if n > 0 && len(c.readAhead) == 0 {
-			c.readAheadAt = time.Now()
-		}
-		c.readAhead = append(c.readAhead, chunk[:n]...)
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil // the response is written, or the read deadline has passed
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // Close closes the socket and then frees its slot in the table. In the reverse order, the
 // connection that gets the slot would be open at the same time as this one and exceed the limit.
 func (c *Conn) Close() error {
--- a/internal/clientconn/doc.go
+++ b/internal/clientconn/doc.go
@@ -9,7 +9,7 @@
 // whose request was answered with an error is closed directly. If the handler still waits for the
 // body, or delays an answer without a backend, the table ends that wait, and the handler answers.
 //
-// Answers that cost no backend anything are limited in their rate (answerPace), and the server pauses
+// Answers that cost no backend anything are limited in their rate (Table.SetAnswerRate), and the server pauses
 // before a request that its client sent ahead of the response to the one before, so that no client
 // uses all of the processor time.
 //
--- a/internal/clientconn/answer_pace_test.go
+++ b/internal/clientconn/rate_limit_test.go
@@ -12,30 +12,30 @@
 	"ploverreel/internal/agenttest"
 )
 
-// answerBurst answers are given at once, and the following ones at the rate. No answer is delayed
-// for longer than maxAnswerDelay, and unused time counts up to answerBurst answers.
-func TestAnswerPaceDelaysAnswersAboveTheRate(t *testing.T) {
+// rateBurst events happen at once, and the following ones at the rate. No event is delayed for
+// longer than maxRateDelay, and unused time counts up to rateBurst events.
+func TestRateLimitDelaysEventsAboveTheRate(t *testing.T) {
 	const interval = 10 * time.Millisecond
-	pace, now := answerPace{interval: interval}, time.Now()
+	limit, now := rateLimit{interval: interval}, time.Now()
 	for range 2 {
-		for i := range answerBurst + 1 {
-			if got := pace.reserve(now); got != 0 {
-				t.Fatalf("answer %d: got delayed by %v, want none", i, got)
+		for i := range rateBurst + 1 {
+			if got := limit.reserve(now); got != 0 {
+				t.Fatalf("event %d: got delayed by %v, want none", i, got)
 			}
 		}
-		for i := 1; i < int(maxAnswerDelay/interval); i++ {
-			if got, want := pace.reserve(now), time.Duration(i)*interval; got != want {
-				t.Fatalf("answer %d above the burst: got a delay of %v, want %v", i, got, want)
+		for i := 1; i < int(maxRateDelay/interval); i++ {
+			if got, want := limit.reserve(now), time.Duration(i)*interval; got != want {
+				t.Fatalf("event %d above the burst: got a delay of %v, want %v", i, got, want)
 			}
 		}
 		for range 1000 {
-			if got := pace.reserve(now); got != maxAnswerDelay {
-				t.Fatalf("got a delay of %v at the maximum, want %v", got, maxAnswerDelay)
+			if got := limit.reserve(now); got != maxRateDelay {
+				t.Fatalf("got a delay of %v at the maximum, want %v", got, maxRateDelay)
 			}
 		}
 		now = now.Add(time.Hour)
 	}
-	unlimited := answerPace{}
+	unlimited := rateLimit{}
 	for range 1000 {
 		if got := unlimited.reserve(now); got != 0 {
 			t.Fatalf("got a delay of %v without a limit, want none", got)
@@ -68,10 +68,10 @@
 	now := time.Now()
 	table, conn := NewTable(1, 1), &Conn{stage: stageActive, stageSince: now}
 	add(t, table, conn, now)
-	table.answers = answerPace{interval: time.Hour, next: now.Add(time.Hour)}
+	table.answers = rateLimit{interval: time.Hour, next: now.Add(time.Hour)}
 	delay, ended := conn.beginDelay(now)
-	if delay != maxAnswerDelay || conn.wait != delaysAnswer {
-		t.Fatalf("got a delay of %v, wait %d; want %v, %d", delay, conn.wait, maxAnswerDelay, delaysAnswer)
+	if delay != maxRateDelay || conn.wait != delaysAnswer {
+		t.Fatalf("got a delay of %v, wait %d; want %v, %d", delay, conn.wait, maxRateDelay, delaysAnswer)
 	}
 	server, _ := net.Pipe()
 	next := &Conn{Conn: server, table: table, stageSince: now}
@@ -101,7 +101,7 @@
 func TestDelayedAnswerEndsWithItsRequest(t *testing.T) {
 	table, conn := NewTable(1, 1), &Conn{stage: stageActive}
 	add(t, table, conn, time.Now())
-	table.answers = answerPace{interval: time.Hour, next: time.Now().Add(time.Hour)}
+	table.answers = rateLimit{interval: time.Hour, next: time.Now().Add(time.Hour)}
 	canceled := make(chan struct{})
 	close(canceled)
 	if evicted := conn.DelayAnswer(canceled); evicted || conn.wait != notWaiting {
--- a/internal/clientconn/request_wait.go
+++ b/internal/clientconn/request_wait.go
@@ -9,7 +9,7 @@
 const (
 	notWaiting   requestWait = iota // the request is whole and its answer is not delayed
 	awaitsBody                      // the rest of the body; the connection may be evicted
-	delaysAnswer                    // the time of its answer (see answerPace); the connection may be evicted
+	delaysAnswer                    // the time of its answer (see DelayAnswer); the connection may be evicted
 	waitEvicted                     // the table has ended the wait; the handler is about to reject the request
 )
 
@@ -42,7 +42,7 @@
 }
 
 // DelayAnswer delays the answer to a request that is answered without a backend, if the agent has
-// given many such answers (see answerPace). It returns early if canceled is closed, or if the table
+// given many such answers (see Table.SetAnswerRate). It returns early if canceled is closed, or if the table
 // needs the slot for another connection. In the latter case it reports that the connection is
 // evicted: the handler must mark it as rejected and close it with the answer.
 func (c *Conn) DelayAnswer(canceled <-chan struct{}) (evicted bool) {
--- a/internal/clientconn/table.go
+++ b/internal/clientconn/table.go
@@ -16,7 +16,8 @@
 	conns        map[*Conn]struct{}
 	waiting      int // number of accepted connections that wait for a slot
 	headMemory   headMemoryLimit
-	answers      answerPace
+	answers      rateLimit // of answers without a backend
+	discards     rateLimit // of the pauses between discarded bytes
 
 	sleep func(time.Duration) // time.Sleep; replaced by tests
 
@@ -34,7 +35,8 @@
 func NewTable(maxConns, maxKeepAlive int) *Table {
 	return &Table{maxConns: maxConns, maxKeepAlive: maxKeepAlive, conns: map[*Conn]struct{}{},
 		headMemory: headMemoryLimit{max: math.MaxInt64}, sleep: time.Sleep,
-		freed: make(chan struct{}, 1), silentGrace: defaultSilentGrace, acquireTimeout: defaultAcquireTimeout}
+		discards: rateLimit{interval: discardPause},
+		freed:    make(chan struct{}, 1), silentGrace: defaultSilentGrace, acquireTimeout: defaultAcquireTimeout}
 }
 
 // Resize changes the limits. Connections above a lowered limit are closed when new ones arrive.
