Keep a retry in the group where its first attempt ran, also after a restart elsewhere

Its first attempt broke when its bid server was replaced, the new process was listed under the same name in another cell (or zone), and the retry went to that cell, whose servers don't know the key.

Cause: the request kept a pointer to the endpoint of its first attempt, and the group of a retry was read from there at the time of the retry. A new list overwrites the endpoint's zone and cell.

Change: the zone and the cell are kept as they were listed when the attempt was sent.

Measured: TestRetryPolicyKeepsRetriesInGroupAfterARestart fails before for both groups ("got a retry in zone 1, cell 1; want 0, 0"). The tests of requestIdempotency compare zone and cell in place of the pointer.

--- a/policy/request.go
+++ b/policy/request.go
@@ -70,15 +70,18 @@
 
 // requestIdempotency holds the state that decides whether a request may be sent again.
 type requestIdempotency struct {
-	mayHaveRun    int       // number of attempts that may have run
-	earliestRunAt float64   // earliest time at which one of them may have run, in ms
-	firstEndpoint *endpoint // endpoint of the attempt sent at earliestRunAt
+	mayHaveRun    int     // number of attempts that may have run
+	earliestRunAt float64 // earliest time at which one of them may have run, in ms
+	// firstZone and firstCell are those of the endpoint of the attempt sent at earliestRunAt, as it was
+	// listed then. Its process may be replaced by one in another zone or cell.
+	firstZone, firstCell int
 }
 
 // attemptSent records an attempt that is being sent: it may run from now on.
 func (i *requestIdempotency) attemptSent(sent *attempt) {
 	if i.mayHaveRun == 0 {
-		i.earliestRunAt, i.firstEndpoint = sent.sentAt, sent.endpoint
+		i.earliestRunAt = sent.sentAt
+		i.firstZone, i.firstCell = sent.endpoint.zone, sent.endpoint.cell
 	}
 	i.mayHaveRun++
 }
--- a/policy/request_test.go
+++ b/policy/request_test.go
@@ -19,16 +19,17 @@
 
 func TestRequestIdempotencyKeepsTheFirstAttemptThatMayHaveRun(t *testing.T) {
 	var idempotency requestIdempotency
-	first, second := &attempt{endpoint: &endpoint{}, sentAt: 10}, &attempt{endpoint: &endpoint{}, sentAt: 20}
+	first := &attempt{endpoint: &endpoint{zone: 1, cell: 2}, sentAt: 10}
+	second := &attempt{endpoint: &endpoint{zone: 3, cell: 4}, sentAt: 20}
 	idempotency.attemptSent(first)
 	idempotency.attemptSent(second)
-	if idempotency.mayHaveRun != 2 || idempotency.earliestRunAt != 10 || idempotency.firstEndpoint != first.endpoint {
+	if idempotency.mayHaveRun != 2 || idempotency.earliestRunAt != 10 || idempotency.firstZone != 1 || idempotency.firstCell != 2 {
 		t.Errorf("got %+v, want two that may have run, the first at 10", idempotency)
 	}
 	idempotency.attemptNeverRan()
 	idempotency.attemptNeverRan()
 	idempotency.attemptSent(second)
-	if idempotency.mayHaveRun != 1 || idempotency.earliestRunAt != 20 || idempotency.firstEndpoint != second.endpoint {
+	if idempotency.mayHaveRun != 1 || idempotency.earliestRunAt != 20 || idempotency.firstZone != 3 || idempotency.firstCell != 4 {
 		t.Errorf("after none may have run: got %+v, want one that may, at 20", idempotency)
 	}
 }
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -54,14 +54,13 @@
 		if p.idempotencyWindowLeftMs(request) <= 0 {
 			return false
 		}
-		first := request.idempotency.firstEndpoint
 		switch request.class.Group {
 		case GroupAll:
 			return true
 		case GroupZone:
-			return endpoint.zone == first.zone
+			return endpoint.zone == request.idempotency.firstZone
 		case GroupCell:
-			return endpoint.cell == first.cell
+			return endpoint.cell == request.idempotency.firstCell
 		}
 	}
 	return false
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -83,6 +83,31 @@
 	}
 }
 
+// Guards against a request that runs twice because a process was replaced by one in another cell or
+// zone, and the new one was taken for the old one: a retry stays in the group of the first attempt,
+// whose servers drop repeats.
+func TestRetryPolicyKeepsRetriesInGroupAfterARestart(t *testing.T) {
+	for _, group := range []Group{GroupCell, GroupZone} {
+		t.Run(string(group), func(t *testing.T) {
+			settings := testSettings()
+			settings.Classes[keyedClass].Group = group
+			h := newHarness(t, settings, 6)
+			id, server := h.mustSend(keyedClass, 5)
+			old := h.endpointAt(server).cell
+			restarted := startedAt(Entry{Server: server, Health: HealthReady, Weight: 1, Cell: 1 - old, Zone: 1 - old}, h.now)
+			h.updateEndpoints(ListDelta, restarted)
+			h.now += 20
+			retry := findAction(h.endAttempt(id, 0, server, StatusReset, 20), ActionSendAttempt)
+			if retry == nil {
+				t.Fatal("got no retry, want one in the group of the first attempt")
+			}
+			if got := h.endpointAt(retry.Server); got.cell != old || got.zone != old {
+				t.Errorf("got a retry in zone %d, cell %d; want %d, %d, where the first attempt ran", got.zone, got.cell, old, old)
+			}
+		})
+	}
+}
+
 // If each of many agents sent every rejected attempt to the next endpoint, together they would keep all
 // endpoints overloaded. So the retry budget bounds retries by the number of answers in time. A retry
 // after an attempt that reached no endpoint is free.
@@ -161,7 +186,8 @@
 			retries := newRetryPolicy(&environment{now: 10000 + test.afterMs}, &endpointSet{})
 			request := &request{class: &class{Class: test.class},
 				timing: requestTiming{deadline: 1e6}, attempts: requestAttempts{limit: 2},
-				idempotency: requestIdempotency{mayHaveRun: test.mayHaveRun, earliestRunAt: 10000, firstEndpoint: first}}
+				idempotency: requestIdempotency{mayHaveRun: test.mayHaveRun, earliestRunAt: 10000,
+					firstZone: first.zone, firstCell: first.cell}}
 			for i, endpoint := range []*endpoint{sameCell, sameZone, elsewhere} {
 				if got := retries.maySend(request, endpoint); got != test.want[i] {
 					t.Errorf("endpoint %d: got %v, want %v", i, got, test.want[i])
