Close the connections of a backend that leaves the list, also those in use

An attempt that was in flight at the old process returned its connection, and the next request was sent on it: to the process that had gone.

Cause: only idle connections were closed when a backend left the list. While an attempt was in flight the backend was kept, and a list that names it again with the same address and start found its connections still in use.

Change: listedBackend.leave closes the connections, those in use when their attempts end; a backend that is listed again gets new ones.

--- a/internal/agent/endpoints.go
+++ b/internal/agent/endpoints.go
@@ -136,16 +136,18 @@
 
 // updateBackend updates the backend of one entry, or adds the backend if it is new.
 func (l *loop) updateBackend(entry *policy.Entry, host *endpointlist.Host) {
-	gone := entry.Health == policy.HealthGone
 	current := l.backends[entry.Server]
-	if current == nil {
-		if gone {
-			return
+	if entry.Health == policy.HealthGone {
+		if current != nil {
+			current.leave()
 		}
+		return
+	}
+	if current == nil {
 		current = &listedBackend{addr: entry.Server, attempts: map[*attempt]struct{}{}}
 		l.backends[entry.Server] = current
 	}
-	if !gone && !current.connectsTo(host) {
+	if !current.connectsTo(host) {
 		current.reconnect(l.pool, host)
 	}
 	current.usable = entry.Health == policy.HealthReady
@@ -159,7 +161,7 @@
 	}
 	for addr, target := range l.backends {
 		if !listed[addr] {
-			target.usable = false
+			target.leave()
 		}
 	}
 }
--- a/internal/agent/listed_backend.go
+++ b/internal/agent/listed_backend.go
@@ -12,13 +12,14 @@
 	addr     policy.Addr
 	bornMs   float64 // born_ms of the list: the start time by the backend's wall clock
 	usable   bool    // listed as ready, so attempts may be sent to it
+	gone     bool    // not listed any more, but attempts are in flight
 	conns    *backend.Conns
 	attempts map[*attempt]struct{} // in flight
 }
 
 // connectsTo reports whether the backend's connections are to the address and the process of host.
 func (b *listedBackend) connectsTo(host *endpointlist.Host) bool {
-	return b.conns != nil && b.conns.Addr() == host.Dial && b.bornMs == host.BornMs
+	return b.conns != nil && !b.gone && b.conns.Addr() == host.Dial && b.bornMs == host.BornMs
 }
 
 // reconnect replaces the backend's connections by new ones to the address and the process of host.
@@ -29,7 +30,18 @@
 		b.withdraw()
 		b.conns.Close()
 	}
-	b.bornMs, b.conns = host.BornMs, pool.NewConns(host.Dial)
+	b.gone, b.bornMs, b.conns = false, host.BornMs, pool.NewConns(host.Dial)
+}
+
+// leave records that the backend is not listed any more. Its connections are closed, those in use
+// when their attempts end: if the backend is listed again, another process may be at its address.
+func (b *listedBackend) leave() {
+	if b.gone {
+		return
+	}
+	b.usable, b.gone = false, true
+	b.withdraw()
+	b.conns.Close()
 }
 
 // withdraw cancels the attempts of which no byte was written, and closes the idle connections. A
