Treat a host as gone if a newer process is listed at its address

The change that names the new one came before the change that removes the old one. Until then the agent sent requests for the old one too, and they reached the new process: a cold server got the share of two, and a keyed request that broke there was retried in the old one's cell and ran twice.

Cause: the agent held both names as two bid servers with connections of their own to one address.

Change: endpointlist.AddressClaims finds hosts at whose address a later born_ms is listed, in a change or a whole list, in any order; they are passed on as gone. Hosts with the same born_ms are all kept. If the newer one leaves or moves, the older one counts again, as clocks of two machines may differ. Work per change is proportional to the change.

--- a/internal/agent/endpoints.go
+++ b/internal/agent/endpoints.go
@@ -112,14 +112,16 @@
 	go next.Watch(0, discovery.RetryNewDiscovery)
 }
 
-// applyEndpointList applies a list. It updates the backends first, so that no new attempt is
-// sent to a backend that is no longer ready, and then notifies the module.
+// applyEndpointList applies a list. Hosts at whose address a newer process is listed count as gone.
+// It updates the backends first, so that no new attempt is sent to a backend that is no longer
+// ready, and then notifies the module.
 func (l *loop) applyEndpointList(kind policy.ListKind, list *endpointlist.List) {
 	l.watch.listVersion = list.Seq
-	entries := make([]policy.Entry, len(list.Hosts))
-	for i := range list.Hosts {
-		entries[i] = l.config.Names.Entry(&list.Hosts[i])
-		l.updateBackend(&entries[i], &list.Hosts[i])
+	hosts := l.addressClaims.Resolve(list, kind != policy.ListDelta)
+	entries := make([]policy.Entry, len(hosts))
+	for i := range hosts {
+		entries[i] = l.config.Names.Entry(&hosts[i])
+		l.updateBackend(&entries[i], &hosts[i])
 	}
 	l.startTimes.toModuleClock(entries, l.nowMs())
 	l.startTimes.prune(l.backends)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -11,6 +11,7 @@
 	"ploverreel/internal/backend"
 	"ploverreel/internal/config"
 	"ploverreel/internal/discovery"
+	"ploverreel/internal/endpointlist"
 	"ploverreel/internal/fielderror"
 	"ploverreel/policy"
 )
@@ -60,6 +61,7 @@
 
 	// The endpoint list.
 	watch         watchState
+	addressClaims *endpointlist.AddressClaims
 	startTimes    *startTimes
 	onListApplied func(seq int64, whole bool) // called after each list is applied; may be nil
 
@@ -78,18 +80,19 @@
 		return nil, err
 	}
 	l := &loop{
-		balancer:   balancer,
-		config:     conf,
-		clock:      newModuleClock(conf.Clock),
-		ctx:        ctx,
-		inputs:     make(chan input, inputsPerSocket*conf.Limits.Sockets),
-		afterFunc:  time.AfterFunc,
-		requests:   map[policy.RequestID]*request{},
-		seenIDs:    newSeenIDs(0),
-		backends:   map[policy.Addr]*listedBackend{},
-		pool:       backend.NewPool((&net.Dialer{KeepAlive: -1}).DialContext, backend.Settings{}), // without TCP keep-alive probes
-		startTimes: newStartTimes(),
-		log:        log,
+		balancer:      balancer,
+		config:        conf,
+		clock:         newModuleClock(conf.Clock),
+		ctx:           ctx,
+		inputs:        make(chan input, inputsPerSocket*conf.Limits.Sockets),
+		afterFunc:     time.AfterFunc,
+		requests:      map[policy.RequestID]*request{},
+		seenIDs:       newSeenIDs(0),
+		backends:      map[policy.Addr]*listedBackend{},
+		pool:          backend.NewPool((&net.Dialer{KeepAlive: -1}).DialContext, backend.Settings{}), // without TCP keep-alive probes
+		addressClaims: endpointlist.NewAddressClaims(),
+		startTimes:    newStartTimes(),
+		log:           log,
 	}
 	l.applyLimits()
 	l.watch.discovery = discovery.New(ctx, conf.Discovery, placementOf(&settings), l.discoveryResults(0))
--- a/internal/endpointlist/endpointlist.go
+++ b/internal/endpointlist/endpointlist.go
@@ -38,8 +38,11 @@
 	BornMs float64 `json:"born_ms"` // start of its process: Unix time in ms by its wall clock; 0: long ago
 }
 
+// healthGone is the Health of a host that is not in use any more.
+const healthGone = "gone"
+
 var healthByName = map[string]policy.Health{
-	"ready": policy.HealthReady, "draining": policy.HealthDraining, "gone": policy.HealthGone,
+	"ready": policy.HealthReady, "draining": policy.HealthDraining, healthGone: policy.HealthGone,
 }
 
 // Parse parses and validates one list. Its error comes from the JSON decoder, or is a
