Bound the slots for clients by memory

Cause, traced by a heap profile: the heap was half buffers and goroutines of client connections, some 28 KiB each. Their number followed the descriptors alone (605), and bodies, heads and the requests in the queue had limits by memory, but not the connections themselves.

Change: the slots are at most what fits in a third of limits.memory_mb. With 32 MB and 1,024 descriptors these are 390, above the third of the descriptors (341) that clients may hold for requests; with 64 MB or more nothing changes up to 1,024 descriptors. At most half of the slots are kept alive. A pass over the table makes 64 system calls at most.

Measured: TestClientSlotsAreBoundedByMemory fails before (605 slots in 32 MB).

--- a/internal/clientconn/eviction.go
+++ b/internal/clientconn/eviction.go
@@ -71,6 +71,7 @@
 // connection may be evicted. The caller holds t.mu.
 func (t *Table) evictionCandidate(now time.Time) *Conn {
 	var oldest [evictionClasses]*Conn
+	peeks := 0
 	for c := range t.conns {
 		class := t.evictionClass(c, now)
 		if class == notEvictable {
@@ -79,8 +80,10 @@
 		if oldest[class] != nil && !c.stageSince.Before(oldest[class].stageSince) {
 			continue
 		}
-		if class.protectedByUnreadBytes() && socket.Peek(c.Conn) == socket.PeekUnread {
-			continue
+		if class.protectedByUnreadBytes() {
+			if peeks++; peeks > maxPeeksPerEviction || socket.Peek(c.Conn) == socket.PeekUnread {
+				continue
+			}
 		}
 		oldest[class] = c
 	}
--- a/internal/clientconn/timeouts.go
+++ b/internal/clientconn/timeouts.go
@@ -41,6 +41,10 @@
 // several new connections.
 const maxEvictionsPerAcquire = 4
 
+// maxPeeksPerEviction limits the system calls of one pass over the table. Above it, connections that
+// unread bytes may protect are passed over.
+const maxPeeksPerEviction = 64
+
 // Times of the listener.
 const (
 	// acceptRetryDelay is the delay before a failed accept or listen is retried. It does not grow
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,3 +50,23 @@
 		}
 	}
 }
+
+// Guards against an agent that goes over its memory limit because it may hold more client connections
+// than it has memory for. The slots are enough for the clients that hold a third of the descriptors.
+func TestClientSlotsAreBoundedByMemory(t *testing.T) {
+	for _, sockets := range []int{config.MinSockets, 256, 1024, 4096} {
+		for _, memoryMB := range []float64{16, 32, 64, 192} {
+			limits := config.Limits{Sockets: sockets, MemoryMB: memoryMB}
+			clients, byDescriptors := limits.ClientSockets(), config.Limits{Sockets: sockets}.ClientSockets()
+			if used := float64(clients) * 28 / 1024; used > memoryMB/3 || clients > byDescriptors {
+				t.Errorf("%d descriptors, %v MB: got %d slots, want at most a third of the memory for them and %d", sockets, memoryMB, clients, byDescriptors)
+			}
+			if memoryMB >= 32 && sockets <= 1024 && clients < sockets/3 {
+				t.Errorf("%d descriptors, %v MB: got %d slots, want at least a third of the descriptors", sockets, memoryMB, clients)
+			}
+			if limits.MaxOpenRequests() <= 0 || limits.MaxOpenRequests() >= clients || limits.KeepAliveSockets() >= clients {
+				t.Errorf("%d descriptors, %v MB: got %d slots for %d requests, %d kept alive", sockets, memoryMB, clients, limits.MaxOpenRequests(), limits.KeepAliveSockets())
+			}
+		}
+	}
+}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -22,8 +22,14 @@
 const (
 	bodyMemoryDivisor = 8 // the bodies of all requests in progress together
 	headMemoryDivisor = 8 // the larger heads of all requests together
+
+	clientMemoryDivisor = 3 // the connections of all clients together, without bodies and larger heads
 )
 
+// clientMemory is the memory, in bytes, of one client connection whose request is being read: the
+// server's buffers and goroutine, and a usual head.
+const clientMemory = 28 << 10
+
 // Limits of the answers that the agent gives without a backend, per second.
 const (
 	answersPerCore = 1000
@@ -42,13 +48,19 @@
 // that are not reserved.
 func (l Limits) BackendSockets() int { return (l.Sockets - reservedSockets) * 2 / 5 }
 
-// ClientSockets returns the number of descriptors for client connections: all that are neither
-// reserved nor for backends. It is the number of slots in the table of client connections.
-func (l Limits) ClientSockets() int { return l.Sockets - reservedSockets - l.BackendSockets() }
+// ClientSockets returns the number of slots in the table of client connections: the descriptors that
+// are neither reserved nor for backends, but no more than clientMemoryDivisor leaves memory for.
+func (l Limits) ClientSockets() int {
+	slots := l.Sockets - reservedSockets - l.BackendSockets()
+	if l.MemoryMB > 0 {
+		slots = min(slots, int(l.MemoryMB*(1<<20)/clientMemoryDivisor/clientMemory))
+	}
+	return slots
+}
 
 // KeepAliveSockets returns how many client connections may be kept alive between requests: a sixth
-// of Sockets.
-func (l Limits) KeepAliveSockets() int { return l.Sockets / keepAliveDivisor }
+// of Sockets, but no more than half of the slots.
+func (l Limits) KeepAliveSockets() int { return min(l.Sockets/keepAliveDivisor, l.ClientSockets()/2) }
 
 // MaxOpenRequests returns how many requests may be in progress at once. The decision module rejects
 // requests above this limit. An eighth of the slots in the table of client connections, but at least
