Reject a request whose length is too short for the body behind it

What callers saw: a client with a Content-Length that is too short, or with none, was served 200 for a part of its body, and got 400 for the rest.

Change: the connection keeps the first byte that was read behind the body (bodyEnd); before the request is forwarded, and if none was read, the first unread one is looked at. A request begins with a capital letter or a blank line. With any other byte the request gets 400 and its connection is closed. If the head was read together with an earlier request, it isn't known where it ends, and nothing is checked.

Lines of tests that are replaced: BeginBody takes the length of the body too; the assertions are the same.

--- a/internal/agent/head_time_test.go
+++ b/internal/agent/head_time_test.go
@@ -16,7 +16,8 @@
 type fakeClientConn struct{ receivedAt time.Time }
 
 func (c fakeClientConn) BeginRequest() (time.Time, bool) { return c.receivedAt, false }
-func (fakeClientConn) BeginBody(time.Time)               {}
+func (fakeClientConn) BeginBody(int64, time.Time)        {}
+func (fakeClientConn) IsBodyTooLong() bool               { return false }
 func (fakeClientConn) EndBody(bool) bool                 { return false }
 func (fakeClientConn) DelayAnswer(<-chan struct{}) bool  { return false }
 func (fakeClientConn) MarkRejected()                     {}
--- a/internal/agent/read_request.go
+++ b/internal/agent/read_request.go
@@ -49,6 +49,9 @@
 // errBodyOfGET is the reason why a GET with a body is rejected.
 var errBodyOfGET = &requestError{status: http.StatusBadRequest, reason: "body: none belongs to GET"}
 
+// errBodyTooLong is the reason why a request is rejected of which only a part was read.
+var errBodyTooLong = &requestError{status: http.StatusBadRequest, reason: "body: longer than its Content-Length"}
+
 // readRequest reads and checks a client's request, including the body. Its errors are of type
 // *requestError.
 func (a *Agent) readRequest(conf *config.Config, r *http.Request, receivedAt time.Time) (*request, error) {
@@ -81,7 +84,14 @@
 	// The agent uses the shorter of the two.
 	req.Deadline = receivedAt.Add(min(timeout, config.Milliseconds(settings.DeadlineMs)))
 	readRoutingHints(req, path, r.Header)
-	return req, a.readBody(r, req)
+	if err := a.readBody(r, req); err != nil {
+		return req, err
+	}
+	if conn := clientConnOf(r); conn != nil && conn.IsBodyTooLong() {
+		req.memory.release()
+		return req, errBodyTooLong
+	}
+	return req, nil
 }
 
 // checkVersion rejects a request of an HTTP version below 1.1. Such a request can't be checked for an
@@ -234,7 +244,7 @@
 	now := time.Now()
 	timeout := min(bodyTimeout, max(req.Deadline.Sub(now), minBodyTime))
 	if conn != nil {
-		conn.BeginBody(now.Add(timeout))
+		conn.BeginBody(r.ContentLength, now.Add(timeout))
 	}
 	body := make([]byte, r.ContentLength)
 	_, err := io.ReadFull(r.Body, body)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -70,8 +70,9 @@
 // *clientconn.Conn, or a fake in tests.
 type clientConn interface {
 	BeginRequest() (receivedAt time.Time, last bool)
-	BeginBody(deadline time.Time)
+	BeginBody(length int64, deadline time.Time)
 	EndBody(complete bool) (evicted bool)
+	IsBodyTooLong() bool
 	DelayAnswer(canceled <-chan struct{}) (evicted bool)
 	MarkRejected()
 	WatchDisconnect() (gone <-chan struct{}, stop func())
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -47,6 +47,7 @@
 	handled         bool      // a handler has begun to handle the request in progress
 	head            headState
 	progress        progress
+	bodyEnd         bodyEnd
 	delayEnded      chan struct{} // closed when the table ends the delay of the answer; nil: none is delayed
 	wait            requestWait
 
--- a/internal/clientconn/doc.go
+++ b/internal/clientconn/doc.go
@@ -18,8 +18,8 @@
 // end of the connection.
 //
 // A Conn belongs to the server's goroutine for that connection. Only that goroutine may read from
-// it. BeginRequest, BeginBody, EndBody, DelayAnswer, MarkRejected and NetConn are for the handler of
-// its request. All methods of
+// it. BeginRequest, BeginBody, EndBody, IsBodyTooLong, WatchDisconnect, DelayAnswer, MarkRejected and
+// NetConn are for the handler of its request. All methods of
 // Table may be called from any goroutine. Only ReapIdleUntil blocks.
 //
 // Listen returns the error of its last attempt to listen. Listener.Accept returns an error only
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -18,7 +18,8 @@
 	arrivedEarly       bool      // the beginning of this head had arrived before the server read on behind an earlier request
 	scan               headScan  // of the head in progress, or of that of the request in progress
 	unscanned          unscannedText
-	reserved           int64 // bytes of Table.headMemory that this head uses
+	behind             []byte // read together with the end of the head in progress
+	reserved           int64  // bytes of Table.headMemory that this head uses
 }
 
 // start records that the first bytes of a head were read at now, on a connection that has waited
@@ -38,6 +39,7 @@
 	h.peekedAfterTimeout = false
 	h.deadline = since.Add(HeadTimeout)
 	h.serverWaited, h.inServerBuffer, h.arrivedEarly, h.scan = false, false, false, headScan{}
+	h.behind = nil
 }
 
 // recordScan scans bytes of the head in progress. Bytes behind its end may belong to the next one.
@@ -49,7 +51,9 @@
 	if h.scan == (headScan{}) {
 		h.unscanned = unscannedText{} // the server's buffer was empty
 	}
-	h.unscanned.add(h.scan.scan(read))
+	behind := h.scan.scan(read)
+	h.unscanned.add(behind)
+	h.behind = append(h.behind[:0:0], behind...)
 }
 
 // beginRead records that the server reads into a buffer of size bytes, and reports whether it reads
@@ -118,6 +122,9 @@
 	case c.stage == stageActive:
 		c.head.started = c.head.started || background
 		c.head.unscanned.add(read)
+		if background || c.wait == awaitsBody {
+			c.bodyEnd.add(read)
+		}
 		return true, nil
 	case !c.head.started:
 		c.startHead(time.Now())
@@ -129,6 +136,9 @@
 		return false, nil // the server discards the rest of a rejected request
 	}
 	c.head.recordScan(read)
+	if c.head.scan.ended {
+		c.beginBody(0) // until BeginBody
+	}
 	return false, c.checkHead()
 }
 
--- a/internal/clientconn/request_wait.go
+++ b/internal/clientconn/request_wait.go
@@ -13,12 +13,15 @@
 	waitEvicted                     // the table has ended the wait; the handler is about to reject the request
 )
 
-// BeginBody records that the handler waits for the body of its request until the deadline. Until
-// EndBody is called, the table may end the wait earlier, because it needs the slot for another
+// BeginBody records that the handler waits for the body of its request, of the given length, until
+// the deadline. Until EndBody is called, the table may end the wait earlier, because it needs the slot for another
 // connection. The pending read then times out.
-func (c *Conn) BeginBody(deadline time.Time) {
+func (c *Conn) BeginBody(length int64, deadline time.Time) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
+	if c.bodyEnd.tracked {
+		c.beginBody(length)
+	}
 	c.wait = awaitsBody
 	c.progress.start(time.Now())
 	_ = c.Conn.SetReadDeadline(deadline)
--- a/internal/clientconn/request_wait_test.go
+++ b/internal/clientconn/request_wait_test.go
@@ -21,7 +21,7 @@
 func handleBody(w http.ResponseWriter, r *http.Request) {
 	conn := r.Context().Value(connKey{}).(*Conn)
 	conn.BeginRequest()
-	conn.BeginBody(time.Now().Add(agenttest.LongTimeout))
+	conn.BeginBody(400, time.Now().Add(agenttest.LongTimeout))
 	_, err := io.Copy(io.Discard, r.Body)
 	evicted := conn.EndBody(err == nil)
 	w.Header().Set("Connection", "close")
@@ -100,7 +100,7 @@
 func TestEvictedBodyThatIsCompleteIsUsed(t *testing.T) {
 	table, conn := NewTable(1, 1), &Conn{stage: stageActive}
 	client := add(t, table, conn, time.Now())
-	conn.BeginBody(time.Now().Add(agenttest.LongTimeout))
+	conn.BeginBody(400, time.Now().Add(agenttest.LongTimeout))
 	table.mu.Lock()
 	table.evict(conn)
 	if got := table.closingCount(); got != 1 {
@@ -142,3 +142,35 @@
 		t.Error("got a connection not stalled that received single bytes, want it stalled")
 	}
 }
+
+// The first byte behind the body is found whatever the reads are. It says whether the body is too
+// long, unless it isn't known where the head ends.
+func TestBodyEndIsTheFirstByteBehindTheBody(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		length  int64
+		tracked bool
+		reads   []string
+		want    bool
+	}{
+		{"nothing behind", 4, true, []string{"body"}, false},
+		{"incomplete", 4, true, []string{"bod"}, false},
+		{"next request", 4, true, []string{"bo", "dyGET /"}, false},
+		{"blank line", 4, true, []string{"body", "\r\n"}, false},
+		{"longer", 4, true, []string{"bodyx"}, true},
+		{"longer, later", 4, true, []string{"bo", "dy", "x", "GET /"}, true},
+		{"no body", 0, true, []string{"{}"}, true},
+		{"unknown end of the head", 4, false, []string{"bodyx"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn := &Conn{stage: stageActive, bodyEnd: bodyEnd{left: c.length, tracked: c.tracked}}
+			add(t, NewTable(1, 1), conn, time.Now())
+			for _, read := range c.reads {
+				conn.bodyEnd.add([]byte(read))
+			}
+			if got := conn.IsBodyTooLong(); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -42,13 +42,34 @@
 	if err != nil {
 		return PeekClosed
 	}
+	var one [1]byte
+	return peek(raw, one[:])
+}
+
+// PeekByte returns the first unread byte of a connection, without reading it, and whether there is
+// one.
+func PeekByte(conn net.Conn) (first byte, unread bool) {
+	sysConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := sysConn.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var one [1]byte
+	found := peek(raw, one[:])
+	return one[0], found == PeekUnread
+}
+
+// peek peeks at the first unread bytes of a socket.
+func peek(raw syscall.RawConn, buffer []byte) PeekResult {
 	found := PeekClosed
 	// Control is used because RawConn.Read would wait for a goroutine that reads from the
 	// connection.
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
+	err := raw.Control(func(fd uintptr) {
 		for range maxPeekAttempts {
-			n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			n, _, err := syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 			if found = peekResult(n, err); err != syscall.EINTR {
 				return
 			}
