Move the reading of bodies to a file of its own, and release their memory after a panic

The memory of a request whose body panics while it is read stayed reserved since its memory is counted by reservations, and its connection stayed in the wait for a body: TestPanicInBodyReleasesRequestMemory fails without the deferred release.

--- a/internal/agent/read_request.go
+++ b/internal/agent/read_request.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -16,21 +15,8 @@
 	"ploverreel/policy"
 )
 
-const (
-	// maxBodyBytes bounds the body of one request.
-	maxBodyBytes = 64 << 10
-	// maxTokenBytes bounds the length of a Request-Id and of a Host.
-	maxTokenBytes = 256
-
-	// bodyTimeout bounds the time in which a request's body arrives. A faulty client must get an
-	// error or a close within 3 s of connecting. The sum of clientconn.HeadTimeout and bodyTimeout
-	// is less than that by a margin.
-	bodyTimeout = time.Second
-	// minBodyTime is the least time in which a body may arrive, however short the request's
-	// deadline is. A response after the deadline has no value, but a request must not be lost
-	// because its body is slightly late.
-	minBodyTime = 100 * time.Millisecond
-)
+// maxTokenBytes bounds the length of a Request-Id and of a Host.
+const maxTokenBytes = 256
 
 // requestError is the reason why a request is rejected before it reaches the loop.
 type requestError struct {
@@ -46,12 +32,6 @@
 	return &requestError{status: http.StatusServiceUnavailable, reason: reason, retryAfter: maxRetryAfter(conf)}
 }
 
-// errBodyOfGET is the reason why a GET with a body is rejected.
-var errBodyOfGET = &requestError{status: http.StatusBadRequest, reason: "body: none belongs to GET"}
-
-// errBodyTooLong is the reason why a request is rejected of which only a part was read.
-var errBodyTooLong = &requestError{status: http.StatusBadRequest, reason: "body: longer than its Content-Length"}
-
 // readRequest reads and checks a client's request, including the body. Its errors are of type
 // *requestError.
 func (a *Agent) readRequest(conf *config.Config, r *http.Request, receivedAt time.Time) (*request, error) {
@@ -84,14 +64,7 @@
 	// The agent uses the shorter of the two.
 	req.Deadline = receivedAt.Add(min(timeout, config.Milliseconds(settings.DeadlineMs)))
 	readRoutingHints(req, path, r.Header)
-	if err := a.readBody(r, req); err != nil {
-		return req, err
-	}
-	if conn := clientConnOf(r); conn != nil && conn.IsBodyTooLong() {
-		req.memory.release()
-		return req, errBodyTooLong
-	}
-	return req, nil
+	return req, a.readBody(r, req)
 }
 
 // checkVersion rejects a request of an HTTP version below 1.1. Such a request can't be checked for an
@@ -211,55 +184,6 @@
 	}
 }
 
-// readBody reads the body, whose length is in the head. It rejects the request if all requests in
-// memory together would exceed config.Limits.BodyMemory.
-func (a *Agent) readBody(r *http.Request, req *request) error {
-	head := int64(len(req.Target) + len(req.IdempotencyKey) + len(req.ContentType))
-	if r.ContentLength == 0 && head < minReservedBytes {
-		return nil
-	}
-	reserved, ok := a.memory.reserve(r.ContentLength+head, req.config.Limits.BodyMemory())
-	if !ok {
-		return newUnavailableError("body: no memory left", req.config)
-	}
-	req.memory = reserved
-	if r.ContentLength == 0 {
-		return nil
-	}
-	body, err := receiveBody(r, req)
-	if err != nil {
-		reserved.release()
-		return err
-	}
-	req.Body = body
-	return nil
-}
-
-// receiveBody reads the body with a timeout. The timeout is at most bodyTimeout, so that a body
-// that stops arriving doesn't hold its connection forever. It is also at most the time left until
-// the request's deadline, so that a slow body doesn't delay the response past it, but at least
-// minBodyTime. The client connection table may end the wait earlier, for another connection.
-func receiveBody(r *http.Request, req *request) ([]byte, error) {
-	conn := clientConnOf(r)
-	now := time.Now()
-	timeout := min(bodyTimeout, max(req.Deadline.Sub(now), minBodyTime))
-	if conn != nil {
-		conn.BeginBody(r.ContentLength, now.Add(timeout))
-	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(r.Body, body)
-	evicted := conn != nil && conn.EndBody(err == nil)
-	switch {
-	case err == nil:
-		return body, nil
-	case evicted:
-		return nil, newUnavailableError("body: its connection was needed for another client", req.config)
-	case timeout < bodyTimeout && errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, newUnavailableError("body: came too late", req.config)
-	}
-	return nil, &requestError{status: http.StatusRequestTimeout, reason: "body: did not come whole"}
-}
-
 // parseTimeout parses a positive integer that is followed by a unit: m for milliseconds, u for
 // microseconds. A timeout above longest is an error. The errors don't name the header.
 func parseTimeout(text string, longest time.Duration) (time.Duration, error) {
--- a/internal/agent/request_memory_test.go
+++ b/internal/agent/request_memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -86,3 +87,13 @@
 	none.hold()
 	none.release()
 }
+
+// A panic while a body is read doesn't keep its memory reserved.
+func TestPanicInBodyReleasesRequestMemory(t *testing.T) {
+	agent := newAgent(t, agenttest.Config(refusingAddr))
+	w := httptest.NewRecorder()
+	serveRequest(t, agent, w, withBody(handlerRequest("30000m"), panickingBody{}))
+	if got := agent.memory.used.Load(); w.Code != http.StatusInternalServerError || got != 0 {
+		t.Errorf("got status %d and %d bytes counted, want 500 and none", w.Code, got)
+	}
+}
--- a/internal/clientconn/stage.go
+++ b/internal/clientconn/stage.go
@@ -86,7 +86,7 @@
 	case stageActive:
 		c.head.started = false // the head is complete
 	case stageIdle:
-		c.handled, c.bodyEnd = false, bodyEnd{}
+		c.handled, c.wait, c.bodyEnd = false, notWaiting, bodyEnd{}
 		c.table.headMemory.release(&c.head)
 		c.head.awaitNext(c.stageSince)
 	}
