Don't blame a bid server for an attempt that had no time for an answer

Cause, traced with EDGE_TRACE: four of six bid servers counted as warming up and two as ejected, none with capacity. An attempt whose time was over before an answer could come ejected its server as silent (a timeout, or the module's own cancel at the deadline). A connect that the same deadline cut short counted as failed, and the next answer then as that of a restarted process, whose slow start leaves hardly any room.

Change: an attempt that waited for less than a usual answer takes, and for less than a twentieth of its latency objective, says nothing about its endpoint: no ejection, no answer time, no share of unanswered attempts. A connect that the attempt's deadline ends within a quarter of the connect timeout is "not sent". Both end a request as before, as its time is over.

--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Errors of attempts that did not begin, besides those of a connect.
@@ -35,8 +36,13 @@
 	cause      error // why the attempt's context ended; nil: it did not end
 	neverBegan bool  // no byte of the request was written
 	incomplete bool  // the last byte of the request was not written
+	connectCut bool  // the attempt's deadline ended it before a connect could be expected to succeed
 }
 
+// connectTimeoutDivisor divides the connect timeout. The quotient is the time after which a connect
+// that did not succeed counts as a failure of the backend, even if the attempt's deadline ended it.
+const connectTimeoutDivisor = 4
+
 func (e *Error) Error() string { return e.err.Error() }
 
 // Unwrap returns the underlying error.
@@ -49,11 +55,14 @@
 	// The attempt is withdrawn before the cause is read. Another goroutine that withdraws it sets the
 	// cause right after that, so a cause that was read earlier could be missing.
 	neverBegan := a.withdraw()
+	now := time.Now()
 	return &Error{
 		err:        err,
 		cause:      context.Cause(a.ctx),
 		neverBegan: neverBegan,
 		incomplete: errors.As(err, &write) && write.incomplete,
+		connectCut: !now.Before(a.Deadline()) &&
+			now.Sub(a.started) < a.conns.pool.Settings().ConnectTimeout/connectTimeoutDivisor,
 	}
 }
 
--- a/internal/backend/outcome.go
+++ b/internal/backend/outcome.go
@@ -15,6 +15,8 @@
 }{
 	// The agent itself did not begin the attempt, so the backend is not at fault.
 	{policy.StatusNotSent, func(e *Error) bool { return e.neverBegan && e.isOneOf(ErrTooLate, ErrClientDisconnected) }},
+	// The attempt had too little time for a connect, which says nothing about the backend.
+	{policy.StatusNotSent, func(e *Error) bool { return e.neverBegan && e.connectCut }},
 	// The request may be sent to another backend at once. The rejection doesn't make this backend an
 	// outlier.
 	{policy.StatusRejected, func(e *Error) bool {
--- a/internal/backend/outcome_test.go
+++ b/internal/backend/outcome_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"syscall"
 	"testing"
+	"time"
 
 	"ploverreel/internal/agenttest"
 	"ploverreel/internal/socket"
@@ -179,3 +180,30 @@
 		})
 	}
 }
+
+// Guards against a client whose requests have hardly any time and make servers look unreachable: an
+// attempt whose deadline ends its connect early does not count as a failed connect.
+func TestAttemptStatusOfConnectEndedByDeadline(t *testing.T) {
+	for name, c := range map[string]struct {
+		connectTimeout time.Duration
+		want           policy.Status
+	}{
+		"too little time": {agenttest.LongTimeout, policy.StatusNotSent},
+		"enough time":     {time.Millisecond, policy.StatusConnectFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := newTestPool()
+			settings := pool.Settings()
+			settings.ConnectTimeout = c.connectTimeout
+			pool.Configure(settings)
+			attempt := newTestAttempt(pool.NewConns(unusedAddr), http.MethodPost, 20*time.Millisecond)
+			pool.DialContext = func(context.Context, string, string) (net.Conn, error) {
+				<-attempt.ctx.Done()
+				return nil, attempt.ctx.Err()
+			}
+			if got := attempt.Run(); got.Status != c.want {
+				t.Errorf("got status %d (%v), want %d", got.Status, got.Err, c.want)
+			}
+		})
+	}
+}
--- a/policy/attempt_lifecycle.go
+++ b/policy/attempt_lifecycle.go
@@ -3,6 +3,10 @@
 
 package policy
 
+// minWaitFraction is the fraction of the latency objective for which an attempt must have waited before
+// the lack of an answer says anything about its endpoint. Less is enough if answers usually come earlier.
+const minWaitFraction = 0.05
+
 // send sends a request to an endpoint if the retry policy allows it, and reports whether it did.
 func (b *Balancer) send(request *request, endpoint *endpoint) bool {
 	if !b.retries.maySend(request, endpoint) {
@@ -86,7 +90,10 @@
 // applyOutcome updates the outlier detector, the concurrency limit, the retry budget and the
 // statistics with the end of an attempt after rttMs.
 func (b *Balancer) applyOutcome(attempt *attempt, status Status, rttMs float64) {
-	b.outliers.recordUnanswered(attempt, status)
+	gaveUp := status == StatusTimeout || status == StatusCancelled
+	if !gaveUp || b.hadTimeForAnswer(attempt) {
+		b.outliers.recordUnanswered(attempt, status)
+	}
 	b.closeIdleConnections(attempt.endpoint)
 	if b.limiter.adapt(attempt, status, rttMs) {
 		b.retries.refill()
@@ -136,6 +143,7 @@
 // recordTimeout updates the statistics with an attempt that timed out after rttMs. If the endpoint
 // has answered anything since the attempt was sent, the request may just be expensive: rttMs is then
 // recorded as its answer time, so that the endpoint appears slow. Otherwise the endpoint is ejected.
+// An attempt with too little time for an answer says nothing about its endpoint.
 func (b *Balancer) recordTimeout(attempt *attempt, rttMs float64) {
 	endpoint, request := attempt.endpoint, attempt.request
 	b.limiter.abandoned.observeUnanswered(rttMs, maxSojournDeadlines*b.classes.longestDeadlineMs)
@@ -143,21 +151,31 @@
 	if !b.settings.Limits.Cancellation && rttMs > 0 {
 		b.limiter.abandoned.add(attempt)
 	}
-	if endpoint.traffic.respondedSince(attempt) {
+	switch {
+	case !b.hadTimeForAnswer(attempt):
+	case endpoint.traffic.respondedSince(attempt):
 		b.latency.hints.observeAnswer(request, rttMs)
 		b.observeEndpoint(endpoint, b.latency.objectiveFraction(request, rttMs))
-	} else {
+	default:
 		b.outliers.eject(endpoint, true)
 	}
 }
 
+// hadTimeForAnswer reports whether an attempt that ends now has waited for the time that an answer
+// usually takes, or for minWaitFraction of the latency objective if that is less.
+func (b *Balancer) hadTimeForAnswer(attempt *attempt) bool {
+	request := attempt.request
+	usualMs := min(b.latency.expectedMs(request), minWaitFraction*request.class.LatencyObjectiveMs)
+	return b.now-attempt.sentAt >= usualMs
+}
+
 // recordCancelled updates the statistics with an attempt that was cancelled after rttMs because its
 // client disconnected or it was late. rttMs is a lower bound of its answer time.
 func (b *Balancer) recordCancelled(attempt *attempt, rttMs float64) {
 	endpoint, request := attempt.endpoint, attempt.request
 	request.class.observeUnanswered(b.now, rttMs)
-	if b.now >= request.timing.objectiveAt && !endpoint.traffic.respondedSince(attempt) &&
-		!b.outliers.mostUnanswered() {
+	if b.now >= request.timing.objectiveAt && b.hadTimeForAnswer(attempt) &&
+		!endpoint.traffic.respondedSince(attempt) && !b.outliers.mostUnanswered() {
 		b.outliers.eject(endpoint, true)
 	}
 	if fraction := b.latency.objectiveFraction(request, rttMs); fraction > b.latency.recentOf(endpoint) {
