--- a/internal/endpointlist/address_claims.go
+++ b/internal/endpointlist/address_claims.go
@@ -10,27 +10,27 @@
 // all kept. If the newest one leaves the list, the next one counts again, as the clocks of two
 // machines may differ.
 type AddressClaims struct {
-	hosts     map[string]Host     // all that are listed and not gone, by name
+	hosts     map[string]*Host    // all that are listed and not gone, by name
 	byAddress map[string][]string // their names, by address
 	replaced  map[string]bool     // the names of those at whose address a newer process is listed
 }
 
 // NewAddressClaims returns the claims of an empty list.
 func NewAddressClaims() *AddressClaims {
-	c := &AddressClaims{}
-	c.reset()
-	return c
+	return &AddressClaims{hosts: map[string]*Host{}, byAddress: map[string][]string{}, replaced: map[string]bool{}}
 }
 
-// reset removes all hosts.
+// reset removes all hosts. The maps keep their memory for the next ones.
 func (c *AddressClaims) reset() {
-	c.hosts, c.byAddress, c.replaced = map[string]Host{}, map[string][]string{}, map[string]bool{}
+	clear(c.hosts)
+	clear(c.byAddress)
+	clear(c.replaced)
 }
 
 // Resolve applies a list, or a change of it if whole is false. It returns the hosts of the list, of
 // which those are gone whose address belongs to a newer process, and behind them the other listed
 // hosts that are gone for the same reason from now on, or no longer. The caller must not change the
-// hosts.
+// hosts of the list afterwards.
 func (c *AddressClaims) Resolve(list *List, whole bool) []Host {
 	if whole {
 		c.reset()
@@ -50,7 +50,7 @@
 	}
 	for _, name := range changed {
 		if !listed[name] {
-			resolved = append(resolved, c.resolved(c.hosts[name]))
+			resolved = append(resolved, c.resolved(*c.hosts[name]))
 		}
 	}
 	return resolved
@@ -61,13 +61,13 @@
 	for i := range hosts {
 		host := &hosts[i]
 		if previous, known := c.hosts[host.Host]; known {
-			c.remove(&previous)
+			c.remove(previous)
 			addresses = append(addresses, previous.Dial)
 		}
 		if host.Health == healthGone {
 			continue
 		}
-		c.hosts[host.Host] = *host
+		c.hosts[host.Host] = host
 		c.byAddress[host.Dial] = append(c.byAddress[host.Dial], host.Host)
 		addresses = append(addresses, host.Dial)
 	}
