Test of cancelled calls: force the dial to begin before the call's timeout

Cause, traced: the test gave the call 1 ms and took for granted that the dial begins within it. On a busy machine the timeout is over before net/http dials; then there is no dial whose end could come. The client is not at fault.

Change: a timeout that is over before the dial is doubled, with a new client, until one ends a dial that has begun. The assertions are the same: the call has an error, and the dial ends with it. It is as strict: with a dial that isn't cancelled with its call the test still fails.

--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -94,34 +94,66 @@
 	next[WatchEnded](t, results)
 }
 
+// blockedDial is a dial that lasts until its context ends.
+type blockedDial struct{ began, ended chan struct{} }
+
+// blockDials makes the client's only dial last until its context ends.
+func blockDials(client *Client) blockedDial {
+	blocked := blockedDial{began: make(chan struct{}), ended: make(chan struct{})}
+	client.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		close(blocked.began)
+		<-ctx.Done()
+		close(blocked.ended)
+		return nil, ctx.Err()
+	}
+	return blocked
+}
+
+// hasBegun reports whether the dial has begun.
+func (d blockedDial) hasBegun() bool {
+	select {
+	case <-d.began:
+		return true
+	default:
+		return false
+	}
+}
+
+// watchDuringDial runs watches until the timeout of one ends it after its dial has begun, and returns
+// that dial and the error of the watch. A timeout that is over before makes no dial, so it is doubled.
+func watchDuringDial(t *testing.T) (blockedDial, error) {
+	for timeout := time.Millisecond; ; timeout *= 2 {
+		client, results := newClient(t, refusing, Shared)
+		blocked := blockDials(client)
+		client.firstByteTimeout = timeout
+		go client.Watch(1, NoRetry)
+		if err := next[WatchEnded](t, results).Err; blocked.hasBegun() {
+			return blocked, err
+		}
+	}
+}
+
+// fetchDuringDial runs a fetch whose client is closed during its dial, and returns that dial and the
+// error of the fetch.
+func fetchDuringDial(t *testing.T) (blockedDial, error) {
+	client, results := newClient(t, refusing, Shared)
+	blocked := blockDials(client)
+	go client.Fetch(NoRetry)
+	<-blocked.began
+	client.Close()
+	return blocked, next[Fetched](t, results).Err
+}
+
 // While discovery is cut off from the network, connects get no response. If the dial outlived its
 // call, each call would hold a descriptor for minutes.
 func TestCancelledCallStopsDialling(t *testing.T) {
-	for _, call := range []string{"watch", "fetch"} {
-		t.Run(call, func(t *testing.T) {
-			client, results := newClient(t, refusing, Shared)
-			dialling, ended := make(chan struct{}), make(chan struct{})
-			client.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
-				close(dialling)
-				<-ctx.Done()
-				close(ended)
-				return nil, ctx.Err()
-			}
-			var err error
-			if call == "watch" {
-				client.firstByteTimeout = time.Millisecond
-				go client.Watch(1, NoRetry)
-				err = next[WatchEnded](t, results).Err
-			} else {
-				go client.Fetch(NoRetry)
-				<-dialling
-				client.Close()
-				err = next[Fetched](t, results).Err
-			}
+	for name, call := range map[string]func(*testing.T) (blockedDial, error){"watch": watchDuringDial, "fetch": fetchDuringDial} {
+		t.Run(name, func(t *testing.T) {
+			blocked, err := call(t)
 			if err == nil {
 				t.Fatal("got no error, want that of a cancelled call")
 			}
-			agenttest.Receive(t, ended, "the end of the dial")
+			agenttest.Receive(t, blocked.ended, "the end of the dial")
 		})
 	}
 }
