One peek at a socket, one check of unanswered attempts, one lock at a request's begin

socket.PeekByte repeated Peek's way to the socket; both call one function now. The balancer asked for the statuses that recordUnanswered asks for itself; it now tells whether the attempt had time for an answer, and the check stands there alone. BeginRequest took the table's mutex once more than it needs; an active connection is not closed meanwhile, so the results can be read before the pause. Comments that a rename had left too long, or that named the former owner of a field, are put right. Behaviour is the same.

The tests of socket, clientconn, backend, agent, config, docs and policy pass under the race detector.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -28,8 +28,8 @@
 // "Connection: close". The table may also end the wait for the rest of a body, on an active
 // connection; see requestWait.
 //
-// table.mu guards the fields from stage to wait. The fields after them belong to the goroutine that
-// reads. The server never has two reads of one connection in progress.
+// table.mu guards the fields from stage to wait, and reading the fields after them. The server never
+// has two reads of one connection in progress.
 type Conn struct {
 	net.Conn
 	table    *Table
--- a/internal/clientconn/doc.go
+++ b/internal/clientconn/doc.go
@@ -9,18 +9,18 @@
 // whose request was answered with an error is closed directly. If the handler still waits for the
 // body, or delays an answer without a backend, the table ends that wait, and the handler answers.
 //
-// Answers that cost no backend anything are limited in their rate (Table.SetAnswerRate), and the server pauses
-// before a request that its client sent ahead of the response to the one before, so that no client
-// uses all of the processor time.
+// Answers that cost no backend anything are limited in their rate (Table.SetAnswerRate), and the
+// server pauses before a request that its client sent ahead of the response to the one before, so
+// that no client uses all of the processor time.
 //
 // A Conn counts the header lines of each head as it is read, and the table bounds the memory of large
 // heads. A head that exceeds a limit is refused: the Conn responds itself, and the server reads the
 // end of the connection.
 //
 // A Conn belongs to the server's goroutine for that connection. Only that goroutine may read from
-// it. BeginRequest, BeginBody, EndBody, IsBodyTooLong, WatchDisconnect, DelayAnswer, MarkRejected and
-// NetConn are for the handler of its request. All methods of
-// Table may be called from any goroutine. Only ReapIdleUntil blocks.
+// it, or the handler's watch for a disconnect in its place. BeginRequest, BeginBody, EndBody,
+// IsBodyTooLong, WatchDisconnect, DelayAnswer, MarkRejected and NetConn are for the handler of its
+// request. All methods of Table may be called from any goroutine. Only ReapIdleUntil blocks.
 //
 // Listen returns the error of its last attempt to listen. Listener.Accept returns an error only
 // after the listener was closed; it logs and retries after every other failure. Read, Write and
--- a/internal/clientconn/request_wait.go
+++ b/internal/clientconn/request_wait.go
@@ -14,8 +14,8 @@
 )
 
 // BeginBody records that the handler waits for the body of its request, of the given length, until
-// the deadline. Until EndBody is called, the table may end the wait earlier, because it needs the slot for another
-// connection. The pending read then times out.
+// the deadline. Until EndBody is called, the table may end the wait earlier, because it needs the
+// slot for another connection. The pending read then times out.
 func (c *Conn) BeginBody(length int64, deadline time.Time) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
@@ -45,9 +45,9 @@
 }
 
 // DelayAnswer delays the answer to a request that is answered without a backend, if the agent has
-// given many such answers (see Table.SetAnswerRate). It returns early if canceled is closed, or if the table
-// needs the slot for another connection. In the latter case it reports that the connection is
-// evicted: the handler must mark it as rejected and close it with the answer.
+// given many such answers (see Table.SetAnswerRate). It returns early if canceled is closed, or if
+// the table needs the slot for another connection. In the latter case it reports that the connection
+// is evicted: the handler must mark it as rejected and close it with the answer.
 func (c *Conn) DelayAnswer(canceled <-chan struct{}) (evicted bool) {
 	delay, ended := c.beginDelay(time.Now())
 	if delay > 0 {
--- a/internal/clientconn/stage.go
+++ b/internal/clientconn/stage.go
@@ -36,21 +36,20 @@
 // client sent the request before the response to the one before.
 func (c *Conn) BeginRequest() (receivedAt time.Time, last bool) {
 	c.setStage(stageActive)
-	if pipelined := c.beginHandling(); pipelined {
+	receivedAt, last, pipelined := c.beginHandling()
+	if pipelined {
 		c.table.sleep(pipelinedRequestDelay)
 	}
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	return c.head.receivedAt, c.closing
+	return receivedAt, last
 }
 
-// beginHandling records that a handler handles the request, and reports whether the client sent the
-// request before the response to the one before.
-func (c *Conn) beginHandling() (pipelined bool) {
+// beginHandling records that a handler handles the request. It returns the results of BeginRequest,
+// and whether the client sent the request before the response to the one before.
+func (c *Conn) beginHandling() (receivedAt time.Time, last, pipelined bool) {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.handled = true
-	return c.head.arrivedEarly
+	return c.head.receivedAt, c.closing, c.head.arrivedEarly
 }
 
 // Write is called by the server. If no handler handles a request, it is the server's own answer to
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -20,7 +20,7 @@
 
 // Divisions of the memory limit. The quotients bound parts of the memory.
 const (
-	bodyMemoryDivisor = 8 // the bodies of all requests in progress together
+	bodyMemoryDivisor = 8 // the bodies of all requests in memory together, with what is kept of their heads
 	headMemoryDivisor = 8 // the larger heads of all requests together
 
 	clientMemoryDivisor = 3 // the connections of all clients together, without bodies and larger heads
@@ -70,7 +70,8 @@
 	return slots - max(slots/rejectionSlotsDivisor, minRejectionSlots)
 }
 
-// BodyMemory returns the largest number of bytes of all request bodies in memory together.
+// BodyMemory returns the largest number of bytes of all request bodies in memory together, with what
+// is kept of their heads.
 func (l Limits) BodyMemory() int64 { return int64(l.MemoryMB * (1 << 20) / bodyMemoryDivisor) }
 
 // AnswerRate returns how many answers a second the agent gives without a backend before it delays
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -34,51 +34,43 @@
 // Peek reports whether a connection has unread bytes, without reading them. For a connection that
 // is not a socket, as in tests, it returns PeekNothing.
 func Peek(conn net.Conn) PeekResult {
-	sysConn, ok := conn.(syscall.Conn)
-	if !ok {
-		return PeekNothing
-	}
-	raw, err := sysConn.SyscallConn()
-	if err != nil {
-		return PeekClosed
-	}
-	var one [1]byte
-	return peek(raw, one[:])
+	_, found := peek(conn)
+	return found
 }
 
 // PeekByte returns the first unread byte of a connection, without reading it, and whether there is
 // one.
 func PeekByte(conn net.Conn) (first byte, unread bool) {
+	first, found := peek(conn)
+	return first, found == PeekUnread
+}
+
+// peek returns what Peek does and, if there is one, the first unread byte.
+func peek(conn net.Conn) (first byte, found PeekResult) {
 	sysConn, ok := conn.(syscall.Conn)
 	if !ok {
-		return 0, false
+		return 0, PeekNothing
 	}
 	raw, err := sysConn.SyscallConn()
 	if err != nil {
-		return 0, false
+		return 0, PeekClosed
 	}
+	found = PeekClosed
 	var one [1]byte
-	found := peek(raw, one[:])
-	return one[0], found == PeekUnread
-}
-
-// peek peeks at the first unread bytes of a socket.
-func peek(raw syscall.RawConn, buffer []byte) PeekResult {
-	found := PeekClosed
 	// Control is used because RawConn.Read would wait for a goroutine that reads from the
 	// connection.
-	err := raw.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		for range maxPeekAttempts {
-			n, _, err := syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 			if found = peekResult(n, err); err != syscall.EINTR {
 				return
 			}
 		}
 	})
 	if err != nil {
-		return PeekClosed
+		return 0, PeekClosed
 	}
-	return found
+	return one[0], found
 }
 
 // peekResult returns the PeekResult for the return values of a peeking recvfrom. EAGAIN and EINTR
--- a/policy/attempt_lifecycle.go
+++ b/policy/attempt_lifecycle.go
@@ -90,10 +90,7 @@
 // applyOutcome updates the outlier detector, the concurrency limit, the retry budget and the
 // statistics with the end of an attempt after rttMs.
 func (b *Balancer) applyOutcome(attempt *attempt, status Status, rttMs float64) {
-	gaveUp := status == StatusTimeout || status == StatusCancelled
-	if !gaveUp || b.hadTimeForAnswer(attempt) {
-		b.outliers.recordUnanswered(attempt, status)
-	}
+	b.outliers.recordUnanswered(attempt, status, b.hadTimeForAnswer(attempt))
 	b.closeIdleConnections(attempt.endpoint)
 	if b.limiter.adapt(attempt, status, rttMs) {
 		b.retries.refill()
--- a/policy/outlier_detection.go
+++ b/policy/outlier_detection.go
@@ -148,11 +148,12 @@
 
 // recordUnanswered updates the share of unanswered attempts. An attempt is unanswered if it got no
 // answer by its latency objective and its endpoint has not responded since the attempt was sent.
-func (d *outlierDetector) recordUnanswered(attempt *attempt, status Status) {
+// hadTime says whether the attempt had time for an answer.
+func (d *outlierDetector) recordUnanswered(attempt *attempt, status Status, hadTime bool) {
 	unanswered := 0.0
 	if status == StatusTimeout || status == StatusCancelled {
-		if d.now < attempt.request.timing.objectiveAt {
-			return // the client disconnected before the objective, which says nothing
+		if d.now < attempt.request.timing.objectiveAt || !hadTime {
+			return // it ended before the objective, or before an answer could come, which says nothing
 		}
 		if !attempt.endpoint.traffic.respondedSince(attempt) {
 			unanswered = 1
