Tests: one text of a request with a body, and one backend that answers all requests

The new tests wrote the text of a request with a Content-Length twice, and three older places had it as a replacement in another text; agenttest.RequestTextWithBody serves all five. The handler that answers every request stood in the tests of backend and again in a new test of agent; agenttest.AnswerAll serves both.

Removed lines are these copies; the texts that are sent, the assertions and the bounds are the same.

--- a/internal/agent/body_too_long_test.go
+++ b/internal/agent/body_too_long_test.go
@@ -10,25 +10,19 @@
 	"ploverreel/internal/agenttest"
 )
 
-// textWithBody returns the text of a request with a Content-Length and a body, which may not fit.
-func textWithBody(id string, length int, body string) string {
-	field := fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n", length)
-	return strings.Replace(agenttest.RequestText("order", id), "\r\n\r\n", field, 1) + body
-}
-
 // Guards against a request whose length is too short that is served by a part of its body, as if it
 // had run.
 func TestAgentRejectsRequestWhoseBodyIsLongerThanItsLength(t *testing.T) {
 	addr, received := agenttest.IDBackend(t, 200, false)
 	_, base, _, _ := startAgent(t, agenttest.Config(refusingAddr, addr))
 	for name, text := range map[string]string{
-		"half the body":      textWithBody("bad", 4, "half of it"),
+		"half the body":      agenttest.RequestTextWithBody("order", "bad", 4, "half of it"),
 		"no length":          agenttest.RequestText("order", "bad") + "half of it",
-		"length of 0":        textWithBody("bad", 0, "{}"),
+		"length of 0":        agenttest.RequestTextWithBody("order", "bad", 0, "{}"),
 		"GET with a body":    agenttest.RequestText("look", "bad") + "{}",
-		"a long body":        textWithBody("bad", 10_000, strings.Repeat("x", 20_000)),
-		"a byte at the end":  textWithBody("bad", 5_000, strings.Repeat("x", 5_001)),
-		"more than a buffer": textWithBody("bad", 100, strings.Repeat("x", 9_000)),
+		"a long body":        agenttest.RequestTextWithBody("order", "bad", 10_000, strings.Repeat("x", 20_000)),
+		"a byte at the end":  agenttest.RequestTextWithBody("order", "bad", 5_000, strings.Repeat("x", 5_001)),
+		"more than a buffer": agenttest.RequestTextWithBody("order", "bad", 100, strings.Repeat("x", 9_000)),
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn := agenttest.Dial(t, base)
@@ -55,7 +49,7 @@
 				for i := range requests {
 					id := fmt.Sprint("id", lastID.Add(1))
 					if i%2 == 0 {
-						text.WriteString(textWithBody(id, size, strings.Repeat("x", size)) + between)
+						text.WriteString(agenttest.RequestTextWithBody("order", id, size, strings.Repeat("x", size)) + between)
 					} else {
 						text.WriteString(agenttest.RequestText("look", id)) // net/http takes blank lines only behind a POST
 					}
--- a/internal/agent/disconnect_unread_test.go
+++ b/internal/agent/disconnect_unread_test.go
@@ -147,7 +147,7 @@
 // Nothing is forwarded for a client that disconnects in the head, in the body or right after its
 // request. Here all of this happens before the connection is accepted.
 func TestAgentForwardsNothingForDisconnectBeforeAccept(t *testing.T) {
-	whole := strings.Replace(agenttest.RequestText("order", "left"), "\r\n\r\n", "\r\nContent-Length: 8\r\n\r\nhalfrest", 1)
+	whole := agenttest.RequestTextWithBody("order", "left", 8, "halfrest")
 	addr, received := agenttest.IDBackend(t, 200, false)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -182,7 +182,7 @@
 // Nothing is forwarded for a client that disconnects while the agent waits for the rest of its
 // request, and the slot is free again.
 func TestAgentForwardsNothingForIncompleteRequest(t *testing.T) {
-	whole := strings.Replace(agenttest.RequestText("order", "left"), "\r\n\r\n", "\r\nContent-Length: 8\r\n\r\nhalfrest", 1)
+	whole := agenttest.RequestTextWithBody("order", "left", 8, "halfrest")
 	addr, received := agenttest.IDBackend(t, 200, false)
 	agent, base, clients := startTracked(t, agenttest.Config(refusingAddr, addr))
 	for part, text := range map[string]string{"head": whole[:20], "body": whole[:len(whole)-4]} {
--- a/internal/agent/incomplete_request_test.go
+++ b/internal/agent/incomplete_request_test.go
@@ -30,7 +30,7 @@
 	addr, received := agenttest.IDBackend(t, 200, false)
 	_, base, _, _ := startAgent(t, agenttest.Config(refusingAddr, addr))
 	head := agenttest.RequestText("order", "half")
-	halfBody := strings.Replace(head, "\r\n\r\n", "\r\nContent-Length: 8\r\n\r\nhalf", 1)
+	halfBody := agenttest.RequestTextWithBody("order", "half", 8, "half")
 	for _, c := range []struct {
 		name, text string
 		want       string // status; "": a close suffices
--- a/internal/agent/replaced_backend_test.go
+++ b/internal/agent/replaced_backend_test.go
@@ -44,14 +44,7 @@
 // Guards against work that is sent to a new process at the address of one that has gone, because the
 // list still names the old one. The list may name them in any order, and together or not.
 func TestNewProcessReplacesOlderOneAtItsAddress(t *testing.T) {
-	addr := agenttest.RawBackend(t, func(conn net.Conn, reader *bufio.Reader) {
-		for {
-			if _, err := agenttest.ReadRequest(reader); err != nil {
-				return
-			}
-			io.WriteString(conn, agenttest.OKResponse)
-		}
-	})
+	addr := agenttest.RawBackend(t, agenttest.AnswerAll(agenttest.OKResponse))
 	old, replacement := bornHost("s-0", addr, 1), bornHost("s-1", addr, 2)
 	for name, lists := range map[string][]endpointlist.List{
 		"change":                {newList(2, false, replacement)},
--- a/internal/agenttest/backend.go
+++ b/internal/agenttest/backend.go
@@ -47,6 +47,18 @@
 	return request, err
 }
 
+// AnswerAll returns a connection handler for RawBackend, which answers each request with text.
+func AnswerAll(text string) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			if _, err := ReadRequest(reader); err != nil {
+				return
+			}
+			io.WriteString(conn, text)
+		}
+	}
+}
+
 // ByteCountingBackend starts a test backend that never responds. When a connection has ended, the
 // backend sends on read the number of bytes that it received there.
 func ByteCountingBackend(t testing.TB) (addr string, read <-chan int64) {
--- a/internal/agenttest/client.go
+++ b/internal/agenttest/client.go
@@ -37,6 +37,13 @@
 	return fmt.Sprintf("%s /%s/u1 HTTP/1.1\r\nHost: b\r\nRequest-Id: %s\r\nRequest-Timeout: 30000m\r\n\r\n", method, class, id)
 }
 
+// RequestTextWithBody returns the text of RequestText with a Content-Length and a body, which may
+// not fit.
+func RequestTextWithBody(class, id string, length int, body string) string {
+	field := fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n", length)
+	return strings.Replace(RequestText(class, id), "\r\n\r\n", field, 1) + body
+}
+
 // ReadToEnd returns all bytes that arrive on a connection until it ends, with EOF or with an error.
 // It fails the test if the connection doesn't end within readTimeout.
 func ReadToEnd(t testing.TB, conn net.Conn) string {
--- a/internal/backend/extra_conn_test.go
+++ b/internal/backend/extra_conn_test.go
@@ -40,7 +40,7 @@
 	pool := newTestPool()
 	pool.settings.ExtraConns, pool.DialContext = true, dialer.DialContext
 	pool.after = func(time.Duration) <-chan time.Time { return settled }
-	conns = pool.NewConns(agenttest.RawBackend(t, answerAll(agenttest.OKResponse)))
+	conns = pool.NewConns(agenttest.RawBackend(t, agenttest.AnswerAll(agenttest.OKResponse)))
 	t.Cleanup(conns.CloseIdle)
 	return conns, dialer, settled
 }
--- a/internal/backend/helpers_test.go
+++ b/internal/backend/helpers_test.go
@@ -68,18 +68,6 @@
 	}
 }
 
-// answerAll returns a connection handler for a fake backend, which answers each request with text.
-func answerAll(text string) func(net.Conn, *bufio.Reader) {
-	return func(conn net.Conn, reader *bufio.Reader) {
-		for {
-			if _, err := agenttest.ReadRequest(reader); err != nil {
-				return
-			}
-			io.WriteString(conn, text)
-		}
-	}
-}
-
 // answerOne returns a connection handler for a fake backend, which answers one request with text
 // and closes the connection.
 func answerOne(text string) func(net.Conn, *bufio.Reader) {
--- a/internal/backend/surplus_test.go
+++ b/internal/backend/surplus_test.go
@@ -43,7 +43,7 @@
 		{"second copy of a 500", strings.Repeat("HTTP/1.1 500 No\r\nContent-Length: 1\r\n\r\nx", 2), policy.StatusServerError},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			conns := newTestPool().NewConns(agenttest.RawBackend(t, answerAll(c.response)))
+			conns := newTestPool().NewConns(agenttest.RawBackend(t, agenttest.AnswerAll(c.response)))
 			defer conns.CloseIdle()
 			conns.pool.DialContext = dialWhole(t, conns.pool.DialContext, len(c.response))
 			got := runAttempt(conns)
@@ -125,7 +125,7 @@
 func TestSurplusBytesAreNotUsedForNextRequest(t *testing.T) {
 	for name, surplus := range map[string]string{"second response": copyForOther, "noise": "\x00noise"} {
 		t.Run(name+" with the response", func(t *testing.T) {
-			conns := newTestPool().NewConns(agenttest.RawBackend(t, answerAll(agenttest.OKResponse+surplus)))
+			conns := newTestPool().NewConns(agenttest.RawBackend(t, agenttest.AnswerAll(agenttest.OKResponse+surplus)))
 			defer conns.CloseIdle()
 			var running sync.WaitGroup
 			for range 8 {
--- a/internal/clientconn/request_wait_test.go
+++ b/internal/clientconn/request_wait_test.go
@@ -11,11 +11,6 @@
 	"ploverreel/internal/agenttest"
 )
 
-// halfBody returns the text of a request whose body is incomplete.
-func halfBody(id string) string {
-	return strings.Replace(agenttest.RequestText("order", id), "\r\n\r\n", "\r\nContent-Length: 400\r\n\r\nhalf", 1)
-}
-
 // handleBody reads a body as the agent's handler does, without a timeout of its own. It rejects a
 // request with 503 if its connection is evicted.
 func handleBody(w http.ResponseWriter, r *http.Request) {
@@ -45,7 +40,7 @@
 	answers := make(chan string, slots)
 	for i := range slots {
 		conn := agenttest.Dial(t, server.addr)
-		io.WriteString(conn, halfBody(fmt.Sprint("half", i)))
+		io.WriteString(conn, agenttest.RequestTextWithBody("order", fmt.Sprint("half", i), 400, "half"))
 		go func() { answers <- agenttest.ReadToEnd(t, conn) }()
 	}
 	agenttest.Eventually(t, "all bodies awaited", func() bool { return table.awaitedBodies() == slots })
@@ -86,7 +81,7 @@
 			w.WriteHeader(http.StatusNotFound)
 		}
 	}))
-	io.WriteString(agenttest.Dial(t, server.addr), halfBody("half"))
+	io.WriteString(agenttest.Dial(t, server.addr), agenttest.RequestTextWithBody("order", "half", 400, "half"))
 	agenttest.Eventually(t, "the request rejected", func() bool {
 		return onlyConnIs(table, func(conn *Conn) bool { return conn.stage == stageRejected })
 	})
